--- /dev/null
+++ b/corkshift/__init__.py
@@ -0,0 +1,1 @@
+"""corkshift: a cache load balancer's node on real sockets, round the decisions of forkweir."""
--- /dev/null
+++ b/corkshift/config.py
@@ -0,0 +1,83 @@
+"""The node's configuration: the file that PROXY_CONFIG names, and the variables beside it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from forkweir import Settings
+from forkweir.adapter import settings_of
+
+Address = tuple[str, int]
+
+
+class BadConfig(Exception):
+    """The configuration is missing or malformed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What the node is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: Settings
+    max_open: int
+    dial_timeout_ms: float
+    conn_idle_ms: float
+    drain_grace_ms: float
+
+
+def address_of(text: str) -> Address:
+    """Split host:port."""
+    host, colon, port = text.rpartition(":")
+    if not (host and colon and port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the configuration; BadConfig has one line for the operator."""
+    path = environ.get("PROXY_CONFIG")
+    if not path:
+        raise BadConfig("PROXY_CONFIG is not set")
+    try:
+        data = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise BadConfig(f"cannot read {path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise BadConfig(f"{path} is not JSON: {error}") from None
+    try:
+        return _parse(data, environ)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise BadConfig(f"{path}: {type(error).__name__}: {error}") from None
+
+
+def _parse(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    options = data["settings"]
+    allowed, contract = options.get("allowed") or {}, options.get("contract") or {}
+    seed = data.get("seed", 0)
+    known = data.get("known") or {}
+    if not isinstance(known, dict):
+        raise TypeError("known is not an object")
+    return Config(
+        name=environ.get("PROXY_NAME") or data.get("name") or "node",
+        listen=address_of(environ.get("PROXY_LISTEN") or data["listen"]),
+        discovery=address_of(environ.get("PROXY_DISCOVERY") or data["discovery"]),
+        seed=seed if isinstance(seed, int) else int(seed, 16),
+        sockets=int((data.get("limits") or {}).get("sockets") or 1024),
+        known=known,
+        settings=settings_of(options),
+        max_open=int(allowed.get("maxOpen") or 10_000),
+        dial_timeout_ms=float(allowed.get("dialTimeoutMs") or 250.0),
+        conn_idle_ms=float(allowed.get("connIdleMs") or 15_000.0),
+        drain_grace_ms=float(contract.get("stopSendingWithinMs") or 250.0),
+    )
--- /dev/null
+++ b/corkshift/discovery.py
@@ -0,0 +1,166 @@
+"""Discovery: the watch, and the address book of cache servers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import AsyncIterator
+from typing import Any, Optional
+
+import h11
+import orjson
+
+from corkshift.clock import now_ms
+from corkshift.config import Address, address_of
+from corkshift.node import Node
+from corkshift.stream import Stream
+from corkshift.upstream import CacheServer, Pool
+from forkweir import Server
+
+log = logging.getLogger(__name__)
+
+STATES = {"in_service": "in", "terminating": "draining", "terminated": "gone"}
+CALL_S = 1.6  # a call that is not answered by then has failed (what it would tell counts as told soon after)
+SILENT_S = 4.3  # more than two heartbeats: the watch has fallen silent,
+STUCK_S = 1.0  # or has stopped in the middle of a line
+MAX_LINE = 4 << 20
+
+
+class BadList(Exception):
+    """Discovery wrote what is no list."""
+
+
+class Discovery:
+    """Keeps the node's list by one watch, begun when the module asks."""
+
+    def __init__(self, node: Node, pool: Pool, address: Address) -> None:
+        self._node = node
+        self._pool = pool
+        self._address = address
+        self._generation: Optional[int] = None
+        self._watch: Optional[asyncio.Task[None]] = None
+
+    def start(self, known: dict[str, Any]) -> None:
+        """Begin with the list as this node last had it."""
+        entries: list[Server] = []
+        try:
+            entries = self._take({**known, "reset": True}) if known else []
+        except BadList as error:
+            log.warning("the known list is of no use: %s", error)
+        self._node.on_list("saved", entries)
+
+    def follow(self) -> None:
+        """Ask for changes from now on."""
+        if self._watch is not None:
+            self._watch.cancel()
+        self._watch = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        try:
+            async for line in self._lines():
+                if line:
+                    self._line(line)
+            log.info("the watch ended")
+        except (OSError, h11.RemoteProtocolError, BadList) as error:
+            log.info("the watch failed: %s: %s", type(error).__name__, error)
+        except Exception:
+            log.exception("the watch failed")
+        self._node.on_list("failed", [])
+
+    async def _lines(self) -> AsyncIterator[bytes]:
+        """The watch's lines as they come whole."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        stream = None
+        try:
+            async with asyncio.timeout(CALL_S):
+                await asyncio.get_running_loop().sock_connect(sock, self._address)
+                stream = Stream(sock)
+                after = "" if self._generation is None else f"&after={self._generation}"
+                parser = h11.Connection(h11.CLIENT)
+                target = f"/discovery/hosts?watch=1{after}"
+                request = h11.Request(method="GET", target=target, headers=[("Host", f"{self._address[0]}:{self._address[1]}")])
+                await stream.write(parser.send(request) + parser.send(h11.EndOfMessage()))
+                while isinstance(event := await _event(parser, stream), h11.InformationalResponse):
+                    pass
+            if not isinstance(event, h11.Response) or event.status_code != 200:
+                raise BadList(f"answered {event!r:.80}")
+            part = b""
+            while True:
+                async with asyncio.timeout(STUCK_S if part else SILENT_S):
+                    event = await _event(parser, stream)
+                if not isinstance(event, h11.Data):
+                    return
+                *lines, part = (part + bytes(event.data)).split(b"\n")
+                for line in lines:
+                    yield line.strip()
+                if len(part) > MAX_LINE:
+                    raise BadList("a line without end")
+        finally:
+            if stream is not None:
+                stream.abort()
+            sock.close()
+
+    def _line(self, line: bytes) -> None:
+        try:
+            data = orjson.loads(line)
+        except orjson.JSONDecodeError as error:
+            raise BadList(f"not JSON: {error}") from None
+        if not isinstance(data, dict):
+            raise BadList("not an object")
+        self._node.on_list("full" if data.get("reset") else "changes", self._take(data))
+
+    def _take(self, data: dict[str, Any]) -> list[Server]:
+        """Bring the address book up to date, and give the entries in the module's terms."""
+        try:
+            generation = int(data["generation"])
+            pairs = [(_server_of(entry), address_of(entry["hostPort"])) for entry in data["instances"]]
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise BadList(f"{type(error).__name__}: {error}") from None
+        book = self._node.servers
+        for server, address in pairs:
+            known = book.get(server.name)
+            if server.state == "gone" or (known is not None and known.address != address):
+                self._leave(server.name, gone=True)
+                known = None
+            if server.state == "gone":
+                continue
+            if known is None:
+                known = book[server.name] = CacheServer(server.name, address)
+            if server.state == "draining":
+                self._leave(server.name, gone=False)
+            else:
+                known.leaving_ms = None
+        if data.get("reset"):
+            for name in book.keys() - {server.name for server, _ in pairs}:
+                self._leave(name, gone=True)
+        self._generation = generation
+        return [server for server, _ in pairs]
+
+    def _leave(self, name: str, gone: bool) -> None:
+        server = self._node.servers.get(name)
+        if server is None:
+            return
+        if server.leaving_ms is None:
+            server.leaving_ms = now_ms()
+        self._pool.forget(server)
+        if gone:
+            del self._node.servers[name]
+
+
+async def _event(parser: h11.Connection, stream: Stream) -> object:
+    while (event := parser.next_event()) is h11.NEED_DATA:
+        parser.receive_data(await stream.read())
+    return event
+
+
+def _server_of(entry: dict[str, Any]) -> Server:
+    return Server(
+        name=str(entry["instanceId"]),
+        zone=str(entry.get("zone") or ""),
+        kind=str(entry.get("machineType") or ""),
+        cell=int(entry.get("cell") or 0),
+        state=STATES[entry["lifecycle"]],
+        weight=float(1.0 if entry.get("weight") is None else entry["weight"]),
+        started_ms=float(entry.get("startedAtMs") or 0.0),
+    )
--- /dev/null
+++ b/corkshift/messages.py
@@ -0,0 +1,56 @@
+"""What passes between the client side, the node and the cache server side."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Optional, Protocol
+
+LONG_ANSWER = 65_536  # bytes; longer answers are streamed, others held whole
+
+
+class Rest(Protocol):
+    """The rest of a long answer, pulled by its reader."""
+
+    async def read(self) -> bytes:
+        """The next bytes; none at the whole end. A break raises OSError."""
+
+    def abandon(self) -> None:
+        """The reader has gone: end the exchange."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The final answer to a request."""
+
+    status: int
+    body: bytes = b""
+    retry_after_s: float = 0.0
+    rest: Optional[Rest] = None
+    length: Optional[int] = None  # of a long answer's body, where its cache server told it
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """One request of a client, whole."""
+
+    method: bytes
+    target: bytes
+    txn: bytes
+    idempotency_key: Optional[bytes]
+    lane: str
+    org: str
+    key: Optional[str]
+    budget_ms: Optional[float]
+    work_ms: float
+    repeated: bool
+    body: list[bytearray] = field(default_factory=list)
+    answer: asyncio.Future[Answer] = field(default_factory=lambda: asyncio.get_running_loop().create_future())
+    id: int = 0
+    deadline_ms: float = 0.0
+    backstop: Optional[asyncio.TimerHandle] = None
+
+    @property
+    def open(self) -> bool:
+        """Whether the final answer is still owed."""
+        return not self.answer.done()
--- /dev/null
+++ b/corkshift/node.py
@@ -0,0 +1,196 @@
+"""The node: turns what happens on sockets into the module's events, and carries out its actions."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any, Optional
+
+from corkshift.clock import now_ms
+from corkshift.config import Config
+from corkshift.messages import Answer, Call
+from corkshift.upstream import Attempt, CacheServer, Outcome, Pool
+from forkweir import Action, Balancer, Server
+
+log = logging.getLogger(__name__)
+
+BACKSTOP_MS = 15.0  # past the deadline, well within the slack that the rules grant
+
+
+class Node:
+    """Owns the open requests, their attempts and the timers. Every decision is the module's."""
+
+    def __init__(self, config: Config, pool: Pool, max_open: int) -> None:
+        self._config = config
+        self._pool = pool
+        self._max_open = max_open
+        self._balancer = Balancer(config.settings, config.seed)
+        self._deadlines = {spec.name: spec.deadline_ms for spec in config.settings.classes}
+        self._calls: dict[int, Call] = {}
+        self._attempts: dict[tuple[int, int], asyncio.Task[None]] = {}
+        self._running: dict[tuple[int, int], Attempt] = {}
+        self._tries: dict[int, int] = {}
+        self._last_id = 0
+        self.servers: dict[str, CacheServer] = {}
+        self.follow: Callable[[], None] = lambda: None
+
+    @property
+    def full(self) -> bool:
+        """Whether as many requests are open as the node may hold."""
+        return len(self._calls) >= self._max_open
+
+    # -- events --------------------------------------------------------------------------
+
+    def submit(self, call: Call) -> None:
+        """A whole request has come; its final answer is owed from now on."""
+        now = now_ms()
+        self._last_id += 1
+        call.id = self._last_id
+        budget = call.budget_ms if call.budget_ms is not None else self._deadlines.get(call.lane, 1000.0)
+        call.deadline_ms = now + budget
+        self._calls[call.id] = call
+        self._tries[call.id] = 0
+        # Guards against a request left without its answer, whatever goes wrong below.
+        call.backstop = asyncio.get_running_loop().call_later((budget + BACKSTOP_MS) / 1000.0, self._overdue, call)
+        self._decide(
+            call,
+            lambda: self._balancer.on_request(
+                now, call.id, call.lane, call.key, budget, call.work_ms, call.org, call.method == b"PUT", call.repeated
+            ),
+        )
+
+    def depart(self, call: Call) -> None:
+        """The client has gone: nothing more is sent for its request."""
+        if call.open:
+            call.answer.cancel()
+        elif not call.answer.cancelled() and (rest := call.answer.result().rest) is not None:
+            rest.abandon()
+        if self._calls.pop(call.id, None) is not None:
+            self._close(call)
+            self._decide(None, lambda: self._balancer.on_departure(now_ms(), call.id))
+
+    def on_list(self, form: str, entries: Iterable[Server]) -> None:
+        """Discovery told of the cache servers, or failed to."""
+        self._decide(None, lambda: self._balancer.on_list(now_ms(), form, entries))
+
+    def _overdue(self, call: Call) -> None:
+        log.warning("request %d had no answer by its deadline", call.id)
+        self._answer(call, Answer(504))
+        self._decide(None, lambda: self._balancer.on_departure(now_ms(), call.id))
+
+    def _due(self, token: int) -> None:
+        self._decide(None, lambda: self._balancer.on_timer(now_ms(), token))
+
+    # -- actions -------------------------------------------------------------------------
+
+    def _decide(self, call: Optional[Call], event: Callable[[], list[Action]]) -> None:
+        """Give the module an event and do what it says. A fault in it ends neither the process nor another request."""
+        try:
+            for action in event():
+                self._act(action)
+        except Exception:
+            log.exception("a decision failed")
+            if call is not None:
+                self._answer(call, Answer(500))
+
+    def _act(self, action: Action) -> None:
+        name: Any = action[0]
+        args: Any = action[1:]
+        if name == "attempt":
+            self._start(*args)
+        elif name == "refuse":
+            self._answer(self._calls.get(args[0]), Answer(503, retry_after_s=(args[1] or 0.0) / 1000.0))
+        elif name == "fail":
+            self._answer(self._calls.get(args[0]), Answer(502))
+        elif name == "cancel":
+            self._end_attempt(args)
+        elif name == "timer":
+            asyncio.get_running_loop().call_later(max(0.0, args[1] - now_ms()) / 1000.0, self._due, args[0])
+        elif name == "follow":
+            self.follow()
+        else:
+            log.warning("the module asks for %s, which this site does not have", name)
+
+    def _answer(self, call: Optional[Call], answer: Answer) -> None:
+        """Give the final answer; the first one counts."""
+        if call is not None and self._calls.pop(call.id, None) is not None:
+            if call.open:
+                call.answer.set_result(answer)
+            self._close(call)
+
+    def _close(self, call: Call) -> None:
+        """A request is over: what is still out for it ends."""
+        if call.backstop is not None:
+            call.backstop.cancel()
+        for n in range(self._tries.pop(call.id, 0)):
+            self._end_attempt((call.id, n))
+
+    def _end_attempt(self, which: tuple[int, int]) -> None:
+        attempt, task = self._running.get(which), self._attempts.get(which)
+        if attempt is not None and task is not None:
+            attempt.abort()  # at once: the task ends a moment later, perhaps after a successor was sent
+            task.cancel()
+
+    # -- attempts ------------------------------------------------------------------------
+
+    def _start(self, call_id: int, name: str, within_ms: float) -> None:
+        call = self._calls.get(call_id)
+        if call is None:
+            return
+        n = self._tries[call_id]
+        self._tries[call_id] = n + 1
+        server = self.servers.get(name)
+        left_ms = call.deadline_ms - now_ms()
+        within_ms = min(within_ms, left_ms) if within_ms else left_ms
+        if server is None or n >= self._config.settings.max_attempts or within_ms <= 0.0:
+            asyncio.get_running_loop().call_soon(self._ended, call, n, name, now_ms(), Outcome("void"))
+            return
+        attempt = Attempt(self._pool, server, call, within_ms, lambda: call.open and self._welcome(server))
+        self._running[call_id, n] = attempt
+        self._attempts[call_id, n] = asyncio.create_task(self._run(call, n, attempt))
+
+    def _welcome(self, server: CacheServer) -> bool:
+        """Whether new work may still reach a server (guards against a slow dial or body outlasting the drain grace)."""
+        return server.leaving_ms is None or now_ms() - server.leaving_ms <= self._config.drain_grace_ms
+
+    async def _run(self, call: Call, n: int, attempt: Attempt) -> None:
+        outcome = Outcome("withdrawn")
+        try:
+            outcome = await attempt.run()
+        except asyncio.CancelledError:
+            pass
+        except Exception:
+            log.exception("an attempt failed")
+            attempt.abort()
+            outcome = Outcome("broken")
+        finally:
+            del self._running[call.id, n], self._attempts[call.id, n]
+        self._ended(call, n, attempt.server.name, attempt.started_ms, outcome, attempt)
+
+    def _ended(self, call: Call, n: int, name: str, started_ms: float, outcome: Outcome, attempt: Optional[Attempt] = None) -> None:
+        now = now_ms()
+        if outcome.long and attempt is not None:
+            self._stream(call, n, attempt, outcome, now - started_ms)
+            return
+        if outcome.status == "success":
+            self._answer(call, Answer(200, outcome.body))
+        self._told(call, n, name, outcome.status, now - started_ms, outcome.note)
+
+    def _told(self, call: Call, n: int, name: str, status: str, elapsed_ms: float, note: int) -> None:
+        finished = call.id not in self._calls
+        self._decide(
+            None if finished else call,
+            lambda: self._balancer.on_outcome(now_ms(), call.id, n, finished, status, name, elapsed_ms, note),
+        )
+
+    def _stream(self, call: Call, n: int, attempt: Attempt, outcome: Outcome, elapsed_ms: float) -> None:
+        """Pass a long answer on as it comes; from its first bytes on it is the request's one answer."""
+        if call.id not in self._calls:
+            attempt.abort()
+            self._told(call, n, attempt.server.name, "withdrawn", elapsed_ms, 0)
+            return
+        # The time of a long answer is that of its first bytes.
+        attempt.on_end(lambda status: self._told(call, n, attempt.server.name, status, elapsed_ms, outcome.note))
+        self._decide(None, lambda: self._balancer.on_started(now_ms(), call.id, n, attempt.server.name))
+        self._answer(call, Answer(200, outcome.body, rest=attempt, length=outcome.length))
--- /dev/null
+++ b/corkshift/stream.py
@@ -0,0 +1,181 @@
+"""A socket with a bounded read buffer, an exact account of what was sent, and an abort that acts at once."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Optional
+
+CHUNK = 65_536  # bytes of one read, and of input held before reading pauses
+KERNEL_BUFFER = 65_536  # asked of the kernel for each direction; it doubles this for its own overhead
+LINGER_S = 1.0  # how long a closing connection waits for its peer's end
+
+_RESET = struct.pack("ii", 1, 0)
+
+
+def bound_buffers(sock: socket.socket) -> None:
+    """Keep the kernel from growing a socket's buffers to megabytes (they count as the node's memory)."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER)
+
+
+class Stream:
+    """One connection. Reads go on by themselves until the buffer is full; writes end when the kernel has the bytes."""
+
+    __slots__ = ("_loop", "_sock", "_in", "_held", "_reading", "_reader", "_writer", "ended", "error", "closed", "notice")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._sock = sock
+        self._in: deque[bytes] = deque()
+        self._held = 0
+        self._reading = False
+        self._reader: Optional[asyncio.Future[None]] = None
+        self._writer: Optional[asyncio.Future[None]] = None
+        self.ended = False  # the peer sends nothing more
+        self.error: Optional[OSError] = None
+        self.closed = False
+        self.notice: Optional[Callable[[], None]] = None  # called when input comes or ends
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._resume()
+
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes wait to be read."""
+        return bool(self._in)
+
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing has come, as it should be on an idle connection; asks the kernel too."""
+        if not (self.closed or self.ended or self._in):
+            self._readable()
+        return not (self.closed or self.ended or self._in)
+
+    async def read(self) -> bytes:
+        """The next bytes; none at the end. A reset raises."""
+        while not self._in:
+            if self.error is not None:
+                raise self.error
+            if self.ended:
+                return b""
+            if self.closed:
+                raise ConnectionAbortedError("closed")
+            self._reader = self._loop.create_future()
+            try:
+                await self._reader
+            finally:
+                self._reader = None
+        data = self._in.popleft()
+        self._held -= len(data)
+        if self._held < CHUNK:
+            self._resume()
+        return data
+
+    async def write(self, data: bytes | bytearray, until_input: bool = False) -> bool:
+        """Give all bytes to the kernel. With until_input, stop early (False) when the peer speaks first."""
+        view = memoryview(data)
+        while view:
+            if self.error is not None:
+                raise self.error
+            if self.closed:
+                raise ConnectionAbortedError("closed")
+            if until_input and (self._in or self.ended):
+                return False
+            try:
+                sent = self._sock.send(view)
+            except (BlockingIOError, InterruptedError):
+                await self._writable()
+                continue
+            except OSError as error:
+                self._end(error)
+                raise
+            view = view[sent:]
+        return True
+
+    def abort(self) -> None:
+        """Reset the connection now: what the kernel still holds must not go out after it was given up."""
+        if not self.closed:
+            with suppress(OSError):
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self.close()
+
+    def close(self) -> None:
+        """Close at once; bytes that the kernel has still go out."""
+        if self.closed:
+            return
+        self.closed = True
+        self._pause()
+        if self._writer is not None:
+            self._loop.remove_writer(self._sock)
+        self._sock.close()
+        self._in.clear()
+        self._held = 0
+        self._wake()
+
+    async def finish(self) -> None:
+        """End our side and wait briefly for the peer's end (a close over unread input would reset the answer)."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(LINGER_S):
+                while await self.read():
+                    pass
+        except OSError:
+            pass
+        self.close()
+
+    async def _writable(self) -> None:
+        self._writer = self._loop.create_future()
+        self._loop.add_writer(self._sock, self._wake)
+        try:
+            await self._writer
+        finally:
+            self._writer = None
+            if not self.closed:
+                self._loop.remove_writer(self._sock)
+
+    def _readable(self) -> None:
+        try:
+            data = self._sock.recv(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._end(error)
+            return
+        if not data:
+            self._end(None)
+            return
+        self._in.append(data)
+        self._held += len(data)
+        if self._held >= CHUNK:
+            self._pause()
+        self._wake()
+        if self.notice is not None:
+            self.notice()
+
+    def _end(self, error: Optional[OSError]) -> None:
+        self.ended = True
+        self.error = error
+        self._pause()
+        self._wake()
+        if self.notice is not None:
+            self.notice()
+
+    def _wake(self) -> None:
+        for waiter in (self._reader, self._writer):
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+
+    def _resume(self) -> None:
+        if not (self._reading or self.ended or self.closed):
+            self._reading = True
+            self._loop.add_reader(self._sock, self._readable)
+
+    def _pause(self) -> None:
+        if self._reading:
+            self._reading = False
+            self._loop.remove_reader(self._sock)
--- /dev/null
+++ b/corkshift/upstream.py
@@ -0,0 +1,300 @@
+"""The cache server side: kept connections, and the exchange of one attempt."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Optional
+
+import h11
+
+from corkshift.clock import now_ms
+from corkshift.config import Address
+from corkshift.messages import LONG_ANSWER, Call
+from corkshift.stream import CHUNK, Stream, bound_buffers
+
+MAX_HEAD = 65_536  # bytes of an answer's head, of a chunk's header or of trailers
+IDLE_SHARE = 0.7  # of the stated idle time; a connection that rested longer is not used again
+SWEEP_S = 0.5
+STALL_S = 10.0  # a long answer of which nothing comes for this long has stopped
+NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
+
+
+class NotSent(Exception):
+    """Nothing went out, and the cache server is not to blame."""
+
+
+@dataclass(eq=False, slots=True)
+class CacheServer:
+    """A cache server as discovery told of it, and the connections to it that rest."""
+
+    name: str
+    address: Address
+    leaving_ms: Optional[float] = None  # when this node was told that it drains or is gone
+    idle: list[tuple[float, Stream]] = field(default_factory=list)  # oldest first
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How an attempt ended, in the words of the module."""
+
+    status: str
+    note: int = 0
+    body: bytes = b""
+    long: bool = False  # it goes on: the rest is read from the attempt
+    length: Optional[int] = None
+
+
+class Pool:
+    """Connections to all cache servers within one budget of sockets."""
+
+    def __init__(self, limit: int, dial_timeout_ms: float, conn_idle_ms: float) -> None:
+        self._limit = limit
+        self._dial_s = dial_timeout_ms / 1000.0
+        self._idle_ms = conn_idle_ms * IDLE_SHARE
+        self._open = 0
+        self._resting: dict[Stream, CacheServer] = {}  # longest rest first
+        self._sweeper: Optional[asyncio.TimerHandle] = None
+
+    async def connect(self, server: CacheServer) -> Stream:
+        """A connection to a server: the one that rested least, or a new one."""
+        while server.idle:
+            stream = server.idle[-1][1]
+            self._unrest(stream)
+            if stream.quiet:
+                return stream
+            self.drop(stream)
+        return await self._dial(server)
+
+    async def _dial(self, server: CacheServer) -> Stream:
+        if self._open >= self._limit:
+            if not self._resting:
+                raise NotSent("every socket for cache servers is in use")
+            oldest = next(iter(self._resting))
+            self._unrest(oldest)
+            self.drop(oldest)
+        self._open += 1
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as error:
+            self._open -= 1
+            raise NotSent(f"no socket: {error}") from None
+        try:
+            bound_buffers(sock)
+            async with asyncio.timeout(self._dial_s):
+                await asyncio.get_running_loop().sock_connect(sock, server.address)
+            return Stream(sock)
+        except BaseException:
+            sock.close()
+            self._open -= 1
+            raise
+
+    def keep(self, server: CacheServer, stream: Stream) -> None:
+        """Let a connection rest for the next attempt; drop it when the server speaks or ends."""
+        if server.leaving_ms is not None or not stream.quiet:
+            self.drop(stream)
+            return
+        server.idle.append((now_ms(), stream))
+        self._resting[stream] = server
+        stream.notice = lambda: self._disturbed(stream)
+        if self._sweeper is None:
+            self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+    def drop(self, stream: Stream) -> None:
+        """Close a connection that no attempt uses any more."""
+        if not stream.closed:
+            self._open -= 1
+            stream.abort()
+
+    def forget(self, server: CacheServer) -> None:
+        """Close what rests of a server that drains, is gone or has moved."""
+        for _, stream in list(server.idle):
+            self._unrest(stream)
+            self.drop(stream)
+
+    def _disturbed(self, stream: Stream) -> None:
+        self._unrest(stream)
+        self.drop(stream)
+
+    def _unrest(self, stream: Stream) -> None:
+        server = self._resting.pop(stream)
+        server.idle[:] = [pair for pair in server.idle if pair[1] is not stream]
+        stream.notice = None
+
+    def _sweep(self) -> None:
+        """Close what has rested too long (guards against a request written as its server closes the connection)."""
+        self._sweeper = None
+        before = now_ms() - self._idle_ms
+        for stream, server in list(self._resting.items()):
+            if server.idle[0][0] > before:
+                break
+            self._unrest(stream)
+            self.drop(stream)
+        if self._resting:
+            self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+
+class Attempt:
+    """One exchange with a cache server. It ends in exactly one outcome, and nothing is ever sent again."""
+
+    def __init__(self, pool: Pool, server: CacheServer, call: Call, within_ms: float, may_send: Callable[[], bool]) -> None:
+        self.server = server
+        self.started_ms = now_ms()
+        self._pool = pool
+        self._call = call
+        self._within_ms = within_ms
+        self._may_send = may_send
+        self._stream: Optional[Stream] = None
+        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
+        self._touched = False  # a byte may have gone out
+        self._written = False  # all of them have
+        self._ending: Optional[Callable[[str], None]] = None
+
+    async def run(self) -> Outcome:
+        """Send the request and read the answer, the whole of it unless it is long."""
+        outcome = Outcome("withdrawn")
+        try:
+            async with asyncio.timeout(self._within_ms / 1000.0):
+                outcome = await self._exchange()
+        except NotSent:
+            outcome = Outcome("void")
+        except TimeoutError:
+            # Until its last byte has left our buffer a request cannot have run.
+            outcome = Outcome("timed_out" if self._written else "unreachable")
+        except (OSError, h11.RemoteProtocolError):
+            outcome = Outcome("broken" if self._written else "unreachable")
+        finally:
+            if not outcome.long:
+                self._release()
+        return outcome
+
+    def abort(self) -> None:
+        """Give the attempt up now, so that nothing of it goes out any more."""
+        if self._stream is not None:
+            self._pool.drop(self._stream)
+
+    async def _exchange(self) -> Outcome:
+        self._stream = await self._pool.connect(self.server)
+        early = not await self._send(self._stream)
+        return await self._receive(early)
+
+    async def _send(self, stream: Stream) -> bool:
+        """Write the request; False when the server answered before all of it was out."""
+        call = self._call
+        size = sum(map(len, call.body))
+        headers = [
+            (b"Host", b"%s:%d" % (self.server.address[0].encode(), self.server.address[1])),
+            (b"X-Txn", call.txn),
+            (b"X-Remaining-Ms", b"%d" % max(1, self._within_ms)),
+        ]
+        if call.idempotency_key is not None:
+            headers.append((b"Idempotency-Key", call.idempotency_key))
+        if size or call.method == b"PUT":
+            headers.append((b"Content-Length", b"%d" % size))
+        head = self._parser.send(h11.Request(method=call.method, target=call.target, headers=headers))
+        for part in call.body:
+            self._parser.send_with_data_passthrough(h11.Data(data=bytes(part)))
+        self._parser.send(h11.EndOfMessage())
+        pieces: list[bytes | bytearray] = [head, *call.body]
+        if len(head) + size <= CHUNK:
+            pieces = [b"".join(pieces)]
+        else:
+            # The last byte goes alone, so that it has not left while others still wait to.
+            pieces[-1:] = [pieces[-1][:-1], pieces[-1][-1:]]
+        for piece in pieces[:-1]:
+            self._touched = True
+            if not await stream.write(piece, until_input=True):
+                return False
+        # A slow dial or a long body takes time: the client may have left, the server may drain.
+        if not self._may_send():
+            raise NotSent("no longer wanted")
+        self._touched = True
+        if not await stream.write(pieces[-1], until_input=len(pieces) > 1):
+            return False
+        self._written = True
+        return True
+
+    async def _receive(self, early: bool) -> Outcome:
+        response = await self._event()
+        while isinstance(response, h11.InformationalResponse):
+            response = await self._event()
+        if not isinstance(response, h11.Response):
+            raise ConnectionResetError("ended before an answer")
+        headers = dict(response.headers)
+        if response.status_code in (503, 504) and headers.get(b"x-turned-away", b"").strip() == b"1":
+            await self._drain()
+            return Outcome("overloaded")
+        if response.status_code != 200:
+            await self._drain()
+            return Outcome("failure")
+        if early:
+            raise ConnectionResetError("served before the request was whole")
+        note = NOTES.get(headers.get(b"x-found", b"").strip().lower(), 0)
+        length = int(headers[b"content-length"]) if b"content-length" in headers and b"transfer-encoding" not in headers else None
+        body = bytearray()
+        while isinstance(event := await self._event(), h11.Data):
+            body += event.data
+            if len(body) > LONG_ANSWER or (length is not None and length > LONG_ANSWER):
+                return Outcome("success", note, bytes(body), True, length)
+        if not isinstance(event, h11.EndOfMessage):
+            raise ConnectionResetError("ended within an answer")
+        return Outcome("success", note, bytes(body))
+
+    async def _drain(self) -> None:
+        """Read a short answer to its end, to keep the connection; a long or broken one says no more than its head."""
+        with suppress(OSError, h11.RemoteProtocolError):
+            for _ in range(8):
+                if not isinstance(await self._event(), h11.Data):
+                    return
+
+    async def _event(self) -> h11.Event | type[h11.PAUSED]:
+        assert self._stream is not None
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            self._parser.receive_data(await self._stream.read())
+        return event  # type: ignore[return-value]
+
+    def _release(self) -> None:
+        """Keep the connection if both sides are through with this exchange and want another, or close it."""
+        stream, parser = self._stream, self._parser
+        if stream is None or stream.closed:
+            return
+        done = self._written and parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        if not self._touched or (done and not parser.trailing_data[0]):
+            self._pool.keep(self.server, stream)
+        else:
+            self._pool.drop(stream)
+
+    # -- the rest of a long answer -------------------------------------------------------
+
+    def on_end(self, ending: Callable[[str], None]) -> None:
+        """Name who is told how the long answer ended."""
+        self._ending = ending
+
+    async def read(self) -> bytes:
+        """The next bytes of a long answer; none at its whole end. A break raises OSError."""
+        try:
+            async with asyncio.timeout(STALL_S):
+                event = await self._event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if not isinstance(event, h11.EndOfMessage):
+                raise ConnectionResetError("ended within an answer")
+        except (OSError, h11.RemoteProtocolError) as error:
+            self._finish("broken")
+            raise ConnectionResetError(str(error)) from None
+        self._finish("success")
+        return b""
+
+    def abandon(self) -> None:
+        """The client has gone, or takes nothing any more."""
+        self._finish("withdrawn")
+
+    def _finish(self, status: str) -> None:
+        if self._ending is None:
+            return
+        ending, self._ending = self._ending, None
+        self._release() if status == "success" else self.abort()
+        ending(status)
--- /dev/null
+++ b/forkweir/__init__.py
@@ -0,0 +1,6 @@
+"""forkweir: the decisions of a proxy that spreads keys over cache servers before a slow origin."""
+
+from forkweir.choice import Action, Balancer, ClassSpec, Server, Settings
+
+__all__ = ["Action", "Balancer", "ClassSpec", "Server", "Settings"]
+__version__ = "0.1.0"
--- /dev/null
+++ b/tests/test_line.py
@@ -0,0 +1,52 @@
+"""Cuts and blending against figures worked by hand."""
+
+from forkweir.choice import ALPHA, UPDATE_EVERY, Line, equal_cuts, position_of
+
+
+def test_cuts_of_the_papers_example() -> None:
+    # Section 4: 10 servers and WS 500, so the first cut lies midway between points 50 and 51.
+    window = [float(i) for i in range(1, 501)]
+    assert equal_cuts(window, 10) == [50.5, 100.5, 150.5, 200.5, 250.5, 300.5, 350.5, 400.5, 450.5]
+
+
+def test_update_blends_new_cuts_into_old_ones() -> None:
+    line = Line(4)
+    old = list(line.cuts)
+    line.window = [0.1 * x for x in line.window]
+    line.update()
+    for before, after in zip(old, line.cuts, strict=True):
+        assert abs(after - (ALPHA * 0.1 * before + (1 - ALPHA) * before)) < 1e-12
+
+
+def test_fresh_nodes_agree_and_a_few_arrivals_hardly_move_the_cuts() -> None:
+    quiet, fresh = Line(512), Line(512)
+    assert quiet.cuts == fresh.cuts
+    for n in range(UPDATE_EVERY):
+        quiet.arrive(position_of(f"k{n}"), f"k{n}")
+    shift = max(abs(a - b) for a, b in zip(quiet.cuts, fresh.cuts, strict=True))
+    assert 0.0 < shift < 0.25 / 512
+
+
+def test_window_keeps_its_size_and_its_order() -> None:
+    line = Line(8)
+    size = len(line.window)
+    for n in range(5 * size):
+        line.arrive(position_of(f"k{n % 97}"), f"k{n % 97}")
+    assert len(line.window) == size and line.window == sorted(line.window)
+    assert not line.prior and sorted(line.real) == line.window
+
+
+def test_hot_key_is_dealt_over_as_many_servers_as_it_fills() -> None:
+    line = Line(64)
+    for n in range(512):
+        key = "hot" if n % 4 == 0 else f"k{n}"
+        line.arrive(position_of(key), key)
+    assert line.copies("hot", 8) == 2
+    assert line.copies("k1", 8) == 1
+
+
+def test_two_or_three_sightings_make_no_key_hot() -> None:
+    line = Line(64)
+    for _ in range(3):
+        line.arrive(position_of("a"), "a")
+    assert line.copies("a", 50) == 1
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,207 @@
+"""The four rules, asserted on the actions that random legal event sequences bring back.
+
+The checker is itself checked: deliberately broken decisions must make it fail.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Optional, cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from forkweir.choice import NEVER_RAN, Action, Balancer, ClassSpec, Server, Settings
+
+CLASSES = (
+    ClassSpec("read", aim_ms=300, deadline_ms=1000, repeat="safe"),
+    ClassSpec("keyed", aim_ms=400, deadline_ms=1000, repeat="keyed", group="cell", repeat_window_ms=500),
+    ClassSpec("keyed-all", aim_ms=400, deadline_ms=1000, repeat="keyed", group="all", repeat_window_ms=500),
+    ClassSpec("unsafe", aim_ms=300, deadline_ms=1000, repeat="unsafe"),
+)
+STATUSES = ("success", "failure", "overloaded", "timed_out", "unreachable", "broken")
+GRACE_MS = 250.0
+
+
+class BrokenRule(AssertionError):
+    """A rule was broken by an action."""
+
+
+class Track:
+    """What the outside knows of one request."""
+
+    def __init__(self, spec: ClassSpec, deadline: float) -> None:
+        self.spec = spec
+        self.deadline = deadline
+        self.answered = False
+        self.attempts: list[tuple[float, str, str]] = []  # sent, server, status ("" while out)
+        self.due = 0.0  # when the last attempt times out
+
+
+class World:
+    """Plays events to a balancer and holds its actions against the rules."""
+
+    def __init__(self, seed: int, balancer: Optional[Balancer] = None) -> None:
+        self.random = random.Random(seed)
+        self.now = 1000.0
+        self.balancer = balancer or Balancer(Settings(classes=CLASSES, max_attempts=3, backoff_max_ms=500), seed)
+        self.state = {f"s{i}": "in" for i in range(6)}
+        self.told = {name: 0.0 for name in self.state}
+        self.requests: dict[int, Track] = {}
+        self.next_id = 1
+        self.carry(self.balancer.on_list(self.now, "saved", [self.entry(n) for n in self.state]))
+
+    def entry(self, name: str) -> Server:
+        return Server(name, zone="a", cell=int(name[1:]) % 2, state=self.state[name])
+
+    def carry(self, actions: list[Action]) -> None:
+        for action in actions:
+            kind = action[0]
+            if kind == "attempt":
+                self.attempt(cast(int, action[1]), cast(str, action[2]), cast(float, action[3]))
+            elif kind in ("refuse", "fail"):
+                self.answer(cast(int, action[1]), refused=kind == "refuse")
+
+    def attempt(self, request_id: int, server: str, within: float) -> None:
+        track = self.requests[request_id]
+        if track.answered:
+            raise BrokenRule("attempt after the end")
+        if self.state[server] != "in" and self.now > self.told[server] + GRACE_MS:
+            raise BrokenRule("attempt at a drained server")
+        if any(status == "" for _, _, status in track.attempts):
+            raise BrokenRule("two attempts out")
+        ran = [a for a in track.attempts if a[2] not in NEVER_RAN]
+        if ran and track.spec.repeat == "unsafe":
+            raise BrokenRule("unsafe repeat")
+        if ran and track.spec.repeat == "keyed":
+            if self.now - ran[0][0] > track.spec.repeat_window_ms:
+                raise BrokenRule("keyed repeat too late")
+            if track.spec.group == "cell" and int(server[1:]) % 2 != int(ran[0][1][1:]) % 2:
+                raise BrokenRule("keyed repeat elsewhere")
+        assert within > 0
+        track.attempts.append((self.now, server, ""))
+        track.due = min(self.now + within, track.deadline)
+
+    def answer(self, request_id: int, refused: bool) -> None:
+        track = self.requests[request_id]
+        if track.answered:
+            raise BrokenRule("two answers")
+        ran = any(status not in NEVER_RAN for _, _, status in track.attempts)
+        binding = track.spec.repeat == "unsafe" or (track.spec.repeat == "keyed" and track.spec.group != "all")
+        if refused and ran and binding:
+            raise BrokenRule("refused what may have run")
+        if self.now > track.deadline + 20.0:
+            raise BrokenRule("answered too late")
+        track.answered = True
+
+    def arrive(self) -> None:
+        request_id, self.next_id = self.next_id, self.next_id + 1
+        spec = self.random.choice(CLASSES)
+        self.requests[request_id] = Track(spec, self.now + 1000.0)
+        key = None if self.random.random() < 0.1 else f"k{self.random.randrange(20)}"
+        self.carry(self.balancer.on_request(self.now, request_id, spec.name, key, 1000.0))
+
+    def end_attempt(self) -> None:
+        waiting = self.waiting()
+        if waiting:
+            self.outcome(self.random.choice(waiting), self.random.choice(STATUSES))
+
+    def waiting(self) -> list[int]:
+        return [i for i, t in self.requests.items() if t.attempts and t.attempts[-1][2] == ""]
+
+    def outcome(self, request_id: int, status: str) -> None:
+        track = self.requests[request_id]
+        number = len(track.attempts) - 1
+        sent, server, _ = track.attempts[number]
+        track.attempts[number] = (sent, server, status)
+        if status == "success" and not track.answered:
+            track.answered = True
+            self.balancer.on_outcome(self.now, request_id, number, True, status, server, self.now - sent, 1)
+        else:
+            self.carry(self.balancer.on_outcome(self.now, request_id, number, track.answered, status, server, self.now - sent))
+
+    def advance(self, until: float) -> None:
+        """Move the clock, with every time-out delivered when it is due."""
+        while True:
+            due = min(((self.requests[i].due, i) for i in self.waiting()), default=(until + 1.0, 0))
+            if due[0] > until:
+                break
+            self.now = max(self.now, due[0])
+            self.outcome(due[1], "timed_out")
+        self.now = until
+
+    def change(self) -> None:
+        name = self.random.choice(sorted(self.state))
+        self.state[name] = self.random.choice(("in", "draining", "gone"))
+        self.told[name] = self.now
+        self.carry(self.balancer.on_list(self.now, "changes", [self.entry(name)]))
+
+    def play(self, steps: int) -> None:
+        for _ in range(steps):
+            self.advance(self.now + self.random.choice((0.0, 5.0, 40.0)))
+            self.random.choice((self.arrive, self.arrive, self.end_attempt, self.end_attempt, self.change))()
+        self.advance(self.now + 5000.0)
+        if any(not t.answered for t in self.requests.values()):
+            raise BrokenRule("a request was lost")
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32))
+def test_random_legal_sequences_keep_the_rules(seed: int) -> None:
+    World(seed).play(150)
+
+
+def always(value: bool) -> Callable[..., bool]:
+    return lambda *_: value
+
+
+def test_checker_sees_a_repeat_that_is_not_allowed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "_may_repeat", always(True))
+    with pytest.raises(BrokenRule):
+        for seed in range(40):
+            World(seed).play(150)
+
+
+def test_checker_sees_a_refusal_that_is_not_allowed(monkeypatch: pytest.MonkeyPatch) -> None:
+    def refuse(self: Balancer, request: object, now: float) -> Action:
+        request_id = cast(int, getattr(request, "id"))  # noqa: B009
+        del self.held[request_id]
+        return ("refuse", request_id, 0.0)
+
+    monkeypatch.setattr(Balancer, "_end", refuse)
+    with pytest.raises(BrokenRule, match="refused"):
+        for seed in range(40):
+            World(seed).play(150)
+
+
+def test_checker_sees_a_lost_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "_end", lambda self, request, now: ("log", "dropped"))
+    with pytest.raises(BrokenRule, match="lost"):
+        for seed in range(40):
+            World(seed).play(150)
+
+
+def test_checker_sees_a_drain_ignored() -> None:
+    world = World(3)
+    for name in world.state:
+        world.state[name] = "draining"  # the balancer is not told, so it goes on sending
+    with pytest.raises(BrokenRule, match="drained"):
+        world.play(60)
+
+
+def test_all_drained_list_gets_a_refusal() -> None:
+    balancer = Balancer(Settings(classes=CLASSES), 1)
+    balancer.on_list(0.0, "full", [Server("a", state="draining")])
+    assert balancer.on_request(1.0, 5, "read", "k", 100.0)[0][:2] == ("refuse", 5)
+    empty = Balancer(Settings(classes=CLASSES), 1)
+    assert empty.on_request(1.0, 5, "read", None, 100.0)[0][:2] == ("refuse", 5)
+
+
+def test_events_of_requests_no_longer_held_are_passed_over() -> None:
+    balancer = Balancer(Settings(classes=CLASSES), 1)
+    balancer.on_list(0.0, "full", [Server("a")])
+    assert balancer.on_outcome(1.0, 9, 0, True, "success", "a", 1.0) == []
+    assert balancer.on_departure(1.0, 9) == []
+    assert balancer.on_timer(1.0, 99) == []
