Tell a spoilt answer from a broken connection

Noise without a line's end was waited on until the attempt timed out.

Ruled out: delays of the event loop (a watchdog thread saw 4 stalls over 20 ms in 22 s, 54 ms the longest), CPU (0.57 s in the busiest second), held state (calls in flight and the module's held requests agreed throughout).

'spoilt' is now an outcome of its own: no strike unless several come in a row, and the same server, which has the key by now, is asked again within the repeat rules. What can't begin an answer is told from its first bytes.

--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -19,6 +19,7 @@
 
 MAX_HEAD = 16_384  # bytes of an answer's head, of a chunk's header or of trailers
 MOST_NOTICES = 8  # 1xx answers ahead of the final one
+VERSION = b"HTTP/1."
 IDLE_SHARE = 0.7  # of the stated idle time; a connection that rested longer is not used again
 SWEEP_S = 0.5
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
@@ -176,7 +177,10 @@
         except TimeoutError:
             # Until its last byte has left our buffer a request cannot have run.
             outcome = Outcome("timed_out" if self._written else "unreachable")
-        except (OSError, h11.RemoteProtocolError, Spoilt):
+        except (h11.RemoteProtocolError, Spoilt):
+            # The server is there and speaks: the module tells this from a connection that broke.
+            outcome = Outcome("spoilt" if self._written else "unreachable")
+        except OSError:
             outcome = Outcome("broken" if self._written else "unreachable")
         finally:
             self._release()
@@ -235,7 +239,7 @@
                 break
             response = await self._event()
         if not isinstance(response, h11.Response):
-            raise ConnectionResetError("ended before an answer")
+            raise Spoilt("notices without end")
         headers = dict(response.headers)
         if response.status_code in (503, 504) and headers.get(b"x-turned-away", b"").strip() == b"1":
             await self._drain()
@@ -252,8 +256,6 @@
             body += event.data
             if len(body) > LONGEST:
                 raise Spoilt("longer than any body may be")
-        if not isinstance(event, h11.EndOfMessage):
-            raise ConnectionResetError("ended within an answer")
         return Outcome("success", note, bytes(body))
 
     async def _drain(self) -> None:
@@ -266,7 +268,11 @@
     async def _event(self) -> h11.Event | type[h11.PAUSED]:
         assert self._stream is not None
         while (event := self._parser.next_event()) is h11.NEED_DATA:
-            self._parser.receive_data(await self._stream.read())
+            if self._parser.their_state is h11.SEND_RESPONSE:
+                _check_start(self._parser.trailing_data[0])
+            if not (data := await self._stream.read()):
+                raise ConnectionResetError("ended before its answer did")
+            self._parser.receive_data(data)
         return event  # type: ignore[return-value]
 
     def _release(self) -> None:
@@ -280,6 +286,12 @@
         else:
             self._pool.drop(stream)
 
+def _check_start(head: bytes) -> None:
+    """Tell from its first bytes what can't become an answer (guards against waiting for the end of a line of noise)."""
+    if head[: len(VERSION)] != VERSION[: len(head)]:
+        raise Spoilt("not HTTP")
+
+
 def _check_length(headers: dict[bytes, bytes]) -> None:
     """Believe an answer's length only where it is told once and is no longer than a body may be.
 
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -62,6 +62,7 @@
 CUT_AFTER = 4  # unanswered attempts in a row at one other zone: its links are held to be cut
 SILENT_AIMS = 2.0  # or as many out with no answer for this many times the aim, while the own zone answers
 CUT_MS = 1_000.0  # between two trials of a zone that is held to be cut off
+SPOILT_ROW = 4  # spoilt answers in a row, with no good one between: the server is held to be broken
 STRAIN_MS = 20_000.0  # strain fades by e in this time
 
 NEVER_RAN = frozenset({"overloaded", "unreachable", "void", "absent"})
@@ -220,6 +221,7 @@
         "gone_ms",
         "warm_ms",
         "strikes",
+        "spoilt",
         "out_until",
         "out_since",
         "rate",
@@ -235,6 +237,7 @@
         self.gone_ms = 0.0
         self.warm_ms = info.started_ms
         self.strikes = 0
+        self.spoilt = 0
         self.out_until = 0.0
         self.out_since = 0.0
         self.rate = 0.0  # requests a second and busy cores, summed over reports
@@ -495,8 +498,19 @@
         member.strikes += 1
         member.out_until = now + min(EJECT_MAX_MS, EJECT_MS * 2.0 ** min(8, member.strikes - 1))
 
+    def spoilt(self, member: Member, now: float) -> None:
+        """Note an answer that could not be read.
+
+        The server is alive, and its cache is worth keeping (guards against ejections, and a warm-up that never was, for a
+        fault of one answer in many). It should also catch a server that speaks nothing but noise: that one is struck.
+        """
+        member.spoilt += 1
+        if member.spoilt >= SPOILT_ROW:
+            self.strike(member, now)
+
     def proved(self, member: Member, now: float) -> None:
         """Note an attempt that the server answered."""
+        member.spoilt = 0
         if member.strikes:
             # Back from the dead without word from the list: it may be cold (guards against
             # a full range falling on a server whose restart the list has yet to tell).
@@ -769,6 +783,8 @@
                 self.fleet.proved(member, now)
             elif status in ("unreachable", "broken"):
                 self.fleet.strike(member, now)
+            elif status == "spoilt":
+                self.fleet.spoilt(member, now)
             if status not in ("void", "withdrawn", "broken"):
                 self.fleet.zone_heard(member.info.zone, status, now)
             self._judge(member, status, note, elapsed_ms, self.held.get(request_id), now)
@@ -789,11 +805,13 @@
         if status == "absent" and self.fleet.origin is not None and request.tries < self.settings.max_attempts:
             return [self._send(request, self.fleet.origin, now)]
         left = request.aim_at - now
+        # A server that spoilt its answer has done the work and keeps what it fetched: it is asked again.
+        again = member if status == "spoilt" and member is not None and self.fleet.usable(member, now) else None
         # A repeat of a miss is one more miss (guards against repeats that keep the origin down).
-        hopeful = request.ran is None or self.origin_slow <= ORIGIN_SLOW
+        hopeful = request.ran is None or again is not None or self.origin_slow <= ORIGIN_SLOW
         if hopeful and left > 0.25 * request.spec.aim_ms and request.tries < self.settings.max_attempts and self.bank >= 1.0:
-            target = self._pick(request, now)
-            if target is not None and target not in request.servers and self._may_repeat(request, target, now):
+            target = again or self._pick(request, now)
+            if target is not None and (again or target not in request.servers) and self._may_repeat(request, target, now):
                 self.bank -= 1.0
                 return [self._send(request, target, now)]
         return [self._end(request, now)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -21,7 +21,7 @@
     ClassSpec("keyed-all", aim_ms=400, deadline_ms=1000, repeat="keyed", group="all", repeat_window_ms=500),
     ClassSpec("unsafe", aim_ms=300, deadline_ms=1000, repeat="unsafe"),
 )
-STATUSES = ("success", "failure", "overloaded", "timed_out", "unreachable", "broken")
+STATUSES = ("success", "failure", "overloaded", "timed_out", "unreachable", "broken", "spoilt")
 GRACE_MS = 250.0
 
 
