Set up no io_uring: its kernel thread ate the node's CPU each time the node was stopped for its share

Looked at: CPU by kind, second by second, and the node's state every 20 ms. Up to second 13 the node spent 0.4 of a core, nearly all in user mode. In second 14 it was first stopped for having had its share; from then on user time was 0.18 and system time 0.52 of a core in a second. A profile with call chains: 394 samples, 82% of second 14, stood in io_sq_thread of the thread iou-sqp. libuv sets up an io_uring with a polling thread when the loop is made, for file operations that this node never does through the loop. The thread sleeps, but each SIGSTOP and SIGCONT wakes it, and it polls on. A probe with an empty loop: 50 stops cost 0.69 s of CPU, 14 ms each; with UV_USE_IO_URING=0, none. So each stop for the share used up more of the share and brought the next stop, and the node then did a third of its work. All that the node and the module saw followed from that: late answers, the shut gate, clients on new connections.

At fault: corkshift/__main__.py main(), which made the loop with what libuv does by default.

The test stops and continues a node 40 times over loopback: 0.57 s of CPU without the change, less than 0.2 s allowed.

--- a/corkshift/__main__.py
+++ b/corkshift/__main__.py
@@ -78,8 +78,21 @@
     await frontend.drain()
 
 
+def forgo_rings() -> None:
+    """Keep libuv from setting up io_uring, which it reads from the environment as the loop is made.
+
+    Guards against CPU spent for nothing: its ring comes with a kernel thread that polls, for files that a node never opens
+    through the loop. The thread sleeps until the process is stopped and continued (by a quota that is enforced so, a freezer, a
+    debugger), then polls for some 14 ms, which count as the node's own: under a quota each stop so brings the next. It should
+    also spare the ring's memory and descriptors, and hold where io_uring is barred. Harm: none as long as files are not
+    read through the loop; whoever wants the ring sets the variable.
+    """
+    os.environ.setdefault("UV_USE_IO_URING", "0")
+
+
 def main() -> int:
     """Run one node as the environment tells."""
+    forgo_rings()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     handler = logging.StreamHandler()
     handler.addFilter(Bounded())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,6 +17,7 @@
 from loopback import OPTIONS, CacheBox, Registry, good, play, request, status, until
 
 ROOT = Path(__file__).parent.parent
+STOPS = 40
 
 
 def free_port() -> int:
@@ -26,6 +27,21 @@
         return port
 
 
+def stat(path: Path) -> list[str]:
+    """What the kernel tells of a process or thread, from its state on."""
+    return (path / "stat").read_text().rpartition(")")[2].split()
+
+
+def states(pid: int) -> list[str]:
+    """The states of a process's threads, those that the kernel runs for it among them."""
+    return [stat(path)[0] for path in Path(f"/proc/{pid}/task").iterdir()]
+
+
+def cpu_s(pid: int) -> float:
+    """The CPU time of all these threads."""
+    return sum(map(int, stat(Path(f"/proc/{pid}"))[11:13])) / os.sysconf("SC_CLK_TCK")
+
+
 class Process:
     """A node started as `run` starts it."""
 
@@ -97,6 +113,23 @@
         await process.reading
 
 
+def test_being_stopped_and_continued_costs_no_cpu(tmp_path: Path) -> None:
+    # Guards against a kernel thread that polls for 14 ms after each stop: a node held to a part of a core is stopped often.
+    async def test() -> None:
+        async with running(tmp_path / "config.json", CacheBox()) as (process, _):
+            pid = process.process.pid
+            before = cpu_s(pid)
+            for _ in range(STOPS):
+                process.process.send_signal(signal.SIGSTOP)
+                await until(lambda: set(states(pid)) == {"T"})
+                process.process.send_signal(signal.SIGCONT)
+                await until(lambda: set(states(pid)) == {"S"})  # what polls has come to rest too
+            assert cpu_s(pid) - before < 0.005 * STOPS
+            assert status(await process.ask("after")) == 200
+
+    play(test)
+
+
 def test_sighup_moves_discovery_and_keeps_what_is_open(tmp_path: Path) -> None:
     # Guards against SIGHUP ending the process, and against a list that stays with the old place.
     async def test() -> None:
