Ask once more for what is out for half its aim; put silent servers out, and try them with one request at a time

At fault: choice.py on_outcome, which learns of an answer that does not come only at the aim, when nothing can be done; and Fleet, which puts servers out for failed connections alone and then sends them all their keys again at once.

Now: one timer looks at what has been out for half its aim, and the module sends it once more where it may be repeated (reads, keyed writes within their window), hits are quick at large, the origin is well and the savings for repeats allow: to the same server if that has answered others meanwhile, else to the next. A server with four such requests in a row over a whole aim and no answer is put out (a quarter of the fleet at most). A server that was put out gets one request at a time until it answers.

--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from hashlib import blake2b
+from heapq import heappop, heappush
 from math import exp
 from typing import Optional
 
@@ -66,8 +67,13 @@
 OWN_ERRORS = 3  # in a row, with no good answer between: more of them are the server's own and not the origin's
 TURNED_STEP = 0.1  # weight of one outcome in the part of attempts that a server turns away
 CALM = 0.15  # a server that turns away less than this lately has room
+HEDGE = 0.5  # a request that is out for this part of its aim is asked for once more
+HEDGE_STEP_MS = 5.0  # between two looks at which are
+SILENT_ROW = 4  # so many requests out for that long in a row, with no answer between, over a whole aim: the server is silent
+SILENT_MOST = 0.25  # of the servers that may be put out for silence at once
 STRAIN_MS = 20_000.0  # strain fades by e in this time
 
+HEARD = frozenset({"success", "overloaded", "failure", "absent", "spoilt", "broken"})  # something came back
 NEVER_RAN = frozenset({"overloaded", "unreachable", "void", "absent"})
 
 
@@ -227,6 +233,10 @@
         "faults",
         "errors",
         "turned",
+        "waited",
+        "waited_ms",
+        "heard_ms",
+        "trial",
         "out_until",
         "out_since",
         "rate",
@@ -245,6 +255,10 @@
         self.faults = 0  # in a row
         self.errors = 0  # in a row
         self.turned = 0.0  # part of late attempts that it turned away
+        self.waited = 0  # requests out for long, in a row,
+        self.waited_ms = 0.0  # and when the first of them was sent
+        self.heard_ms = 0.0  # when it last answered
+        self.trial = -1  # the one request that a server that was put out gets at a time
         self.out_until = 0.0
         self.out_since = 0.0
         self.rate = 0.0  # requests a second and busy cores, summed over reports
@@ -323,6 +337,7 @@
             if info.started_ms != member.info.started_ms:
                 # The same server started again: whatever was held against it is over.
                 member.strikes = 0
+                member.waited = 0
                 member.out_until = 0.0
                 member.warm_ms = info.started_ms
             was, drained = member.present, member.info.state == "draining"
@@ -505,6 +520,7 @@
         if not member.strikes:
             member.out_since = now
         member.strikes += 1
+        member.trial = -1
         member.out_until = now + min(EJECT_MAX_MS, EJECT_MS * 2.0 ** min(8, member.strikes - 1))
 
     def took(self, member: Member, away: bool) -> None:
@@ -538,9 +554,25 @@
         if member.faults >= FAULTS_ROW[status]:
             self.strike(member, now)
 
+    def silent_for(self, member: Member, sent_ms: float, aim_ms: float, now: float) -> bool:
+        """Note a request out for long; whether the server is to be put out for saying nothing.
+
+        Guards against a server that has vanished or hangs while the list still names it: its connections stay open, so nothing
+        fails, and each attempt waits for its whole time. It should catch whatever silences a process or the way to it. Harm:
+        a pause longer than an aim costs a second of its keys; so that overload of all, or an origin that keeps every miss
+        waiting, can't empty the fleet, only a part of it may be out for this.
+        """
+        if not member.waited:
+            member.waited_ms = sent_ms
+        member.waited += 1
+        if member.strikes or member.waited < SILENT_ROW or now - member.waited_ms <= aim_ms:
+            return False
+        return sum(1 for other in self.placed if other.present and other.out_until > now) < SILENT_MOST * self.live
+
     def proved(self, member: Member, now: float) -> None:
         """Note an attempt that the server answered."""
         member.faults = 0
+        member.trial = -1
         if member.strikes:
             # Back from the dead without word from the list: it may be cold (guards against
             # a full range falling on a server whose restart the list has yet to tell).
@@ -635,6 +667,8 @@
         "slow",
         "fallback",
         "hits",
+        "waits",
+        "looks",
     )
 
     def __init__(self, settings: Settings, seed: int) -> None:
@@ -657,6 +691,8 @@
         self.bad = 0.0  # part of late attempts that went wrong
         self.hits = 1.0  # part of late outcomes that were hits
         self.slow = 0.0  # part of late hits that were slow
+        self.waits: list[tuple[float, int]] = []  # a heap: when each request sent lately will have been out for long
+        self.looks = False  # whether a look at them is due
 
     # -- the server list ---------------------------------------------------------------
 
@@ -688,6 +724,8 @@
         """A timer came due."""
         if token == 1:
             return [("follow", True)]
+        if token == 3:
+            return self._look(now)
         if token == 2:
             self.probes += 1
             wait = PROBE_MS * (0.2 if self.probes < FIRST_PROBES else 1.0)
@@ -740,6 +778,59 @@
         if write and self.origin_slow > ORIGIN_DOWN and self.random.random() >= WRITE_TRIAL:
             return [("refuse", request_id, self.settings.backoff_max_ms)]
         self.held[request_id] = request
+        return [self._send(request, target, now), *self._watch(request, now)]
+
+    def _watch(self, request: Request, now: float) -> list[Action]:
+        """Note when a request will have been out for long, and see to it that somebody looks."""
+        if request.spec.repeat == "unsafe":
+            return []
+        due = now + HEDGE * request.spec.aim_ms
+        if due >= request.aim_at:
+            return []
+        heappush(self.waits, (due, request.id))
+        return self._look_at(due)
+
+    def _look_at(self, due: float) -> list[Action]:
+        if self.looks:
+            return []
+        self.looks = True
+        return [("timer", 3, due)]
+
+    def _look(self, now: float) -> list[Action]:
+        """Go through the requests that have been out for long by now."""
+        self.looks = False
+        actions: list[Action] = []
+        while self.waits and self.waits[0][0] <= now:
+            request = self.held.get(heappop(self.waits)[1])
+            if request is not None and request.out and not request.streaming:
+                actions += self._hedge(request, now)
+        if self.waits:
+            actions += self._look_at(max(self.waits[0][0], now + HEDGE_STEP_MS))
+        return actions
+
+    def _hedge(self, request: Request, now: float) -> list[Action]:
+        """Ask once more for what has been out for long and may be repeated; the first answer counts.
+
+        Guards against an attempt whose answer will not come, or not in time, whatever has become of it: a connection gone
+        silent, an answer cut short, a server that hangs. A server that has answered others meanwhile is asked itself, as it
+        holds or fetches the key; else the next one is. Savings for repeats bound the load that this adds; where hits are
+        slow at large or the origin is in trouble a second copy would feed what delays the first, and none is sent.
+        """
+        last = max(request.out)
+        member = request.servers[last]
+        if member.trial == request.id or self.fleet.silent_for(member, request.sent[last], request.spec.aim_ms, now):
+            self.fleet.strike(member, now)
+        if self.bank < 1.0 or self.slow > USUAL_SLOW or self.origin_slow > ORIGIN_SLOW or request.tries >= self.settings.max_attempts:
+            return []
+        alive = member.heard_ms > request.sent[last] and self.fleet.usable(member, now)
+        target = member if alive else self._pick(request, now)
+        if target is None or (not alive and target in request.servers):
+            return []
+        if request.ran is None:  # what is out may have run by now
+            request.ran, request.first_ran = member, request.sent[last]
+        if not self._may_repeat(request, target, now):
+            return []
+        self.bank -= 1.0
         return [self._send(request, target, now)]
 
     def _pick(self, request: Request, now: float) -> Optional[Member]:
@@ -796,6 +887,11 @@
         request.tries += 1
         request.servers.append(member)
         request.sent.append(now)
+        if member.strikes:
+            # One at a time goes to a server that was put out, until it answers (guards against all its keys falling on one
+            # that is still dead each time its time is up).
+            member.trial = request.id
+            member.out_until = max(member.out_until, now + request.spec.aim_ms)
         self.fleet.sent(member.info.zone, request.spec.aim_ms, now)
         until = request.aim_at if request.spec.late_worth <= 0.0 and request.aim_at > now else request.deadline
         return ("attempt", request.id, member.info.name, max(self.settings.tick_ms, until - now))
@@ -819,6 +915,10 @@
                 self.fleet.proved(member, now)
             elif status in FAULTS_ROW:
                 self.fleet.fault(member, status, now)
+            elif status == "timed_out" and member.trial == request_id:
+                self.fleet.strike(member, now)
+            if status in HEARD:
+                member.waited, member.heard_ms = 0, now
             if status not in ("void", "withdrawn", "broken"):
                 self.fleet.zone_heard(member.info.zone, status, now)
             if status in ("success", "overloaded"):
@@ -830,6 +930,8 @@
         if request is None:
             return []
         if finished:
+            if status == "success" and len(request.out) > 1:
+                self._overtaken(request, attempt, now)
             del self.held[request_id]
             return []
         request.out.discard(attempt)
@@ -917,7 +1019,7 @@
             # While the origin is slow keys stay where they are (guards against scattered
             # keys turning hits into misses and keeping the origin down).
             if self.origin_slow < ORIGIN_SLOW:
-                self.fleet.strained(member, now, 4.0 * max(0.05, 1.0 - 4.0 * self.bad))
+                self.fleet.strained(member, now, self._blame())
         elif status == "success" and note == 1 and aim:
             if work:
                 served = self.fleet.served.setdefault(member.info.kind, [0.0, 0.0])
@@ -928,6 +1030,20 @@
             else:
                 self.fleet.strained(member, now, 0.0)
 
+    def _blame(self) -> float:
+        """The strain that an attempt without an answer tells of; the less, the more go so everywhere."""
+        return 4.0 * max(0.05, 1.0 - 4.0 * self.bad)
+
+    def _overtaken(self, request: Request, winner: int, now: float) -> None:
+        """Another server answered first, though asked much later: note it against those that have not (guards against a
+        slow server that looks well since its requests are served elsewhere before their time is up)."""
+        if self.origin_slow >= ORIGIN_SLOW:
+            return
+        for n in request.out:
+            member = request.servers[n]
+            if n < winner and member is not request.servers[winner]:
+                self.fleet.strained(member, now, self._blame())
+
     def _may_repeat(self, request: Request, target: Member, now: float) -> bool:
         """Whether one more attempt is allowed after one that may have run."""
         ran, spec = request.ran, request.spec
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,90 @@
+"""Cache servers that say nothing, over loopback sockets: what is asked once more, and who is put out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Optional
+
+import pytest
+from loopback import CacheBox, Rig, good, play, rig, status, until
+
+from corkshift.clock import now_ms
+from forkweir.choice import SILENT_ROW, Member
+
+
+def silent_once() -> Callable[[bytes], Optional[bytes]]:
+    """Leaves the first request without an answer, whichever server gets it."""
+    heads: list[bytes] = []
+
+    def script(head: bytes) -> Optional[bytes]:
+        heads.append(head)
+        return good(head) if len(heads) > 1 else None
+
+    return script
+
+
+def member(made: Rig, name: str) -> Member:
+    return made.node._balancer.fleet.members[name]
+
+
+def asked(made: Rig) -> int:
+    return sum(len(box.heads) for box in made.boxes.values())
+
+
+@pytest.mark.parametrize(("lane", "method"), [("brisk", "GET"), ("pay", "PUT")])
+def test_what_may_be_repeated_is_asked_once_more_before_its_time_is_up(lane: str, method: str) -> None:
+    # Guards against an attempt that waits for its whole time on a connection gone silent.
+    async def test() -> None:
+        script = silent_once()
+        async with rig({"s0": CacheBox(script), "s1": CacheBox(script)}) as made:
+            answer = await made.ask("a", "Idempotency-Key: k\r\nContent-Length: 0\r\n", lane=lane, method=method)
+            assert status(answer) == 200 and asked(made) == 2
+            # The one that has not answered is given up, and nothing of it stays.
+            await until(lambda: not made.node._attempts and not made.node._balancer.held)
+            await until(lambda: sum(box.open for box in made.boxes.values()) == 1)
+
+    play(test)
+
+
+def test_what_may_not_be_repeated_is_asked_once() -> None:
+    # Guards against one effect twice.
+    async def test() -> None:
+        script = silent_once()
+        async with rig({"s0": CacheBox(script), "s1": CacheBox(script)}) as made:
+            assert status(await made.ask("a", "Content-Length: 0\r\n", lane="once", method="PUT")) == 502
+            assert asked(made) == 1
+
+    play(test)
+
+
+def test_a_server_gone_silent_is_put_out_and_tried_with_one_request_at_a_time() -> None:
+    # Guards against a server that hangs while the list names it, whose keys all wait for their whole time.
+    async def test() -> None:
+        mute = [True]
+        boxes = {"s0": CacheBox(lambda head: None if mute[0] else good(head)), **{f"s{n}": CacheBox() for n in range(1, 6)}}
+        async with rig(boxes) as made:
+            n = 0
+            while not member(made, "s0").strikes:
+                keys = range(n, n + 24)
+                answers = await asyncio.gather(*(made.ask(f"a{k}", path=f"/api/{k}", lane="brisk") for k in keys))
+                assert {status(answer) for answer in answers} <= {200, 503}
+                n += 24
+            assert len(boxes["s0"].heads) >= SILENT_ROW and not any(member(made, f"s{k}").strikes for k in range(1, 6))
+            # When its time is up it gets one of many requests, and all of them are served.
+            before = len(boxes["s0"].heads)
+            until_ms = member(made, "s0").out_until
+            await until(lambda: now_ms() > until_ms)
+            answers = await asyncio.gather(*(made.ask(f"b{k}", path=f"/api/{k}", lane="brisk") for k in range(24)))
+            assert {status(answer) for answer in answers} == {200}
+            assert len(boxes["s0"].heads) == before + 1 and member(made, "s0").strikes == 2
+            # Once it answers, it is in use again.
+            mute[0] = False
+            n = 0
+            while member(made, "s0").strikes:
+                n += 1
+                await made.ask(f"c{n}", path=f"/api/{n}", lane="brisk")
+                await asyncio.sleep(0.01)
+            assert member(made, "s0").out_until == 0.0
+
+    play(test)
