Ask once more only after the time in which nearly all are answered, as it is measured

Cause: a second request at a fixed half of the aim is one for many misses while the origin is busy, and each is one more miss.

Now the module follows the part of the aim in which 95% of attempts are answered, and asks again after that, not before half of the aim and not at all once that is later than 0.7 of it. Silence while the origin is in trouble puts no server out.

--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -67,7 +67,10 @@
 OWN_ERRORS = 3  # in a row, with no good answer between: more of them are the server's own and not the origin's
 TURNED_STEP = 0.1  # weight of one outcome in the part of attempts that a server turns away
 CALM = 0.15  # a server that turns away less than this lately has room
-HEDGE = 0.5  # a request that is out for this part of its aim is asked for once more
+HEDGE_PART = 0.95  # a request that is out for longer than this part of all takes is asked for once more,
+HEDGE_LEAST = 0.5  # but not before this part of its aim,
+HEDGE_MOST = 0.7  # and not at all where that is later than this part
+HEDGE_LEARN = 0.02  # weight of one outcome in the judgement of how long that is
 HEDGE_STEP_MS = 5.0  # between two looks at which are
 SILENT_ROW = 4  # so many requests out for that long in a row, with no answer between, over a whole aim: the server is silent
 SILENT_MOST = 0.25  # of the servers that may be put out for silence at once
@@ -667,6 +670,7 @@
         "slow",
         "fallback",
         "hits",
+        "usual",
         "waits",
         "looks",
     )
@@ -691,6 +695,7 @@
         self.bad = 0.0  # part of late attempts that went wrong
         self.hits = 1.0  # part of late outcomes that were hits
         self.slow = 0.0  # part of late hits that were slow
+        self.usual = HEDGE_MOST  # the part of their aims in which HEDGE_PART of the attempts are answered
         self.waits: list[tuple[float, int]] = []  # a heap: when each request sent lately will have been out for long
         self.looks = False  # whether a look at them is due
 
@@ -784,7 +789,7 @@
         """Note when a request will have been out for long, and see to it that somebody looks."""
         if request.spec.repeat == "unsafe":
             return []
-        due = now + HEDGE * request.spec.aim_ms
+        due = now + min(max(HEDGE_LEAST, self.usual), HEDGE_MOST) * request.spec.aim_ms
         if due >= request.aim_at:
             return []
         heappush(self.waits, (due, request.id))
@@ -818,9 +823,10 @@
         """
         last = max(request.out)
         member = request.servers[last]
-        if member.trial == request.id or self.fleet.silent_for(member, request.sent[last], request.spec.aim_ms, now):
+        calm = self.origin_slow <= ORIGIN_SLOW
+        if member.trial == request.id or calm and self.fleet.silent_for(member, request.sent[last], request.spec.aim_ms, now):
             self.fleet.strike(member, now)
-        if self.bank < 1.0 or self.slow > USUAL_SLOW or self.origin_slow > ORIGIN_SLOW or request.tries >= self.settings.max_attempts:
+        if self.bank < 1.0 or self.usual > HEDGE_MOST or not calm or request.tries >= self.settings.max_attempts:
             return []
         alive = member.heard_ms > request.sent[last] and self.fleet.usable(member, now)
         target = member if alive else self._pick(request, now)
@@ -1005,6 +1011,8 @@
             self.hits += BAD_STEP * ((status == "success" and note == 1) - self.hits)
         if status == "success" and note == 1:
             self.slow += BAD_STEP * (slow - self.slow)
+        if aim and status in ("success", "timed_out"):
+            self._learn(status == "timed_out" or elapsed_ms > self.usual * aim)
         member.errors = member.errors + 1 if status == "failure" else 0 if status == "success" else member.errors
         # One server that fails whatever it is asked tells nothing of the origin (guards against a gate shut for all by the
         # quick errors of one). An origin in trouble shows at many servers, a few errors at each.
@@ -1034,14 +1042,18 @@
         """The strain that an attempt without an answer tells of; the less, the more go so everywhere."""
         return 4.0 * max(0.05, 1.0 - 4.0 * self.bad)
 
+    def _learn(self, longer: bool) -> None:
+        """Follow the time in which most attempts are answered: it stands still where as many take longer as should."""
+        self.usual = min(1.0, max(0.0, self.usual + HEDGE_LEARN * (longer - 1.0 + HEDGE_PART)))
+
     def _overtaken(self, request: Request, winner: int, now: float) -> None:
         """Another server answered first, though asked much later: note it against those that have not (guards against a
         slow server that looks well since its requests are served elsewhere before their time is up)."""
-        if self.origin_slow >= ORIGIN_SLOW:
-            return
         for n in request.out:
             member = request.servers[n]
-            if n < winner and member is not request.servers[winner]:
+            if n < winner:
+                self._learn(True)
+            if n < winner and self.origin_slow < ORIGIN_SLOW and member is not request.servers[winner]:
                 self.fleet.strained(member, now, self._blame())
 
     def _may_repeat(self, request: Request, target: Member, now: float) -> bool:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -7,10 +7,11 @@
 from typing import Optional
 
 import pytest
-from loopback import CacheBox, Rig, good, play, rig, status, until
+from loopback import OPTIONS, CacheBox, Rig, good, play, rig, status, until
 
 from corkshift.clock import now_ms
-from forkweir.choice import SILENT_ROW, Member
+from forkweir.adapter import settings_of
+from forkweir.choice import HEDGE_LEAST, HEDGE_MOST, SILENT_ROW, Balancer, Member
 
 
 def silent_once() -> Callable[[bytes], Optional[bytes]]:
@@ -28,6 +29,11 @@
     return made.node._balancer.fleet.members[name]
 
 
+def settled(made: Rig) -> None:
+    """As after many quick answers: what is out for long stands out early."""
+    made.node._balancer.usual = HEDGE_LEAST
+
+
 def asked(made: Rig) -> int:
     return sum(len(box.heads) for box in made.boxes.values())
 
@@ -38,6 +44,7 @@
     async def test() -> None:
         script = silent_once()
         async with rig({"s0": CacheBox(script), "s1": CacheBox(script)}) as made:
+            settled(made)
             answer = await made.ask("a", "Idempotency-Key: k\r\nContent-Length: 0\r\n", lane=lane, method=method)
             assert status(answer) == 200 and asked(made) == 2
             # The one that has not answered is given up, and nothing of it stays.
@@ -52,6 +59,7 @@
     async def test() -> None:
         script = silent_once()
         async with rig({"s0": CacheBox(script), "s1": CacheBox(script)}) as made:
+            settled(made)
             assert status(await made.ask("a", "Content-Length: 0\r\n", lane="once", method="PUT")) == 502
             assert asked(made) == 1
 
@@ -64,6 +72,7 @@
         mute = [True]
         boxes = {"s0": CacheBox(lambda head: None if mute[0] else good(head)), **{f"s{n}": CacheBox() for n in range(1, 6)}}
         async with rig(boxes) as made:
+            settled(made)
             n = 0
             while not member(made, "s0").strikes:
                 keys = range(n, n + 24)
@@ -88,3 +97,15 @@
             assert member(made, "s0").out_until == 0.0
 
     play(test)
+
+
+def test_the_time_after_which_more_is_asked_follows_what_is_usual() -> None:
+    # Guards against second requests for a good part of all, when everything has become slow.
+    balancer = Balancer(settings_of(OPTIONS), 1)
+    balancer.usual = 0.5
+    for n in range(400):
+        balancer._learn(n % 10 == 0)
+    assert balancer.usual > HEDGE_MOST
+    for n in range(1_200):
+        balancer._learn(n % 100 == 0)
+    assert balancer.usual < HEDGE_LEAST
