Thin out resting client connections beyond a third of the places

With answers and connections counted every half second: at second 2.2 94 connections come that ask once and stay; 126 then rest and the node gets 10 to 30 requests in half a second instead of 150, for 1.5 s, until its limit of 202 is reached and room is made by closing what rests: requests are back at once.

Ruled out: the module's gate and the node's 'full' (no such answers), the budget of bodies (25 kB at most), CPU (0.55 of a core at most), the silent ones by themselves (15 to 38 of them in those seconds).

At fault: frontend.py _sweep, which lets any number of connections rest for 10 s; clients whose connections are so used up have none left for a request.

The test opens 24 connections at a node for 32 that ask once: they go in good time; it takes 10 s without the change.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -27,6 +27,7 @@
 SILENT_MS = 2_000.0  # a new connection that has sent nothing for this long is closed,
 PART_MS = 2_400.0  # one whose request is not whole by then is answered 408 (the first one's time runs from connecting),
 IDLE_MS = 10_000.0  # and one on which nothing more is asked for this long is closed
+REST_SHARE = 1 / 3  # of the places for clients may be held by connections on which nothing more is asked
 SWEEP_S = 0.2  # between two looks at who has had its time
 SHY_MS = 100.0  # where room is short, a new connection that has sent nothing for this long makes way
 BACKLOG = 4096
@@ -58,7 +59,7 @@
         self.since_ms = now_ms()  # of its rest, or of the start of the request that is not whole yet
         self.partial = False  # a part of a request has come
         self.served = False  # an answer has been given
-        self._over = False  # the last answer has been given; the client's end is awaited
+        self.over = False  # the last answer has been given; the client's end is awaited, briefly
         self._queue: asyncio.Queue[Optional[tuple[h11.Connection, asyncio.Future[Answer]]]] = asyncio.Queue(PIPELINE)
         self._calls: dict[asyncio.Future[Answer], Call] = {}
         self._pending = 0
@@ -73,7 +74,7 @@
 
     def close_if_unread(self) -> bool:
         """Close between requests, unless one has come meanwhile."""
-        if not self._over and (self._pending or not (self.partial or self._stream.quiet)):
+        if not self.over and (self._pending or not (self.partial or self._stream.quiet)):
             return False
         self._stream.close()
         self._task.cancel()
@@ -110,7 +111,7 @@
             reader.cancel()
             await asyncio.gather(reader, return_exceptions=True)
             self._stream.notice = None
-            self._over = True
+            self.over = True
             self._frontend.rests(self)
             await self._stream.finish()
         except (OSError, asyncio.CancelledError):
@@ -381,6 +382,7 @@
                 if now - connection.since_ms <= limit:
                     break
                 connection.close_if_unread()
+        self._thin(now)
         for connection in list(self._partial):
             if now - connection.since_ms > PART_MS:
                 del self._partial[connection]
@@ -388,6 +390,19 @@
         if not self.draining:
             asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
+    def _thin(self, now: float) -> None:
+        """Close what rests beyond its share of the places, longest rest first.
+
+        Guards against connections that asked once and are kept for good: they hold places, here and at the clients, that those
+        who ask need, long before any has rested its time. It should also keep sockets few after a burst. Harm: a client with
+        more connections than it uses dials again; what has rested only a moment is spared.
+        """
+        kept = [connection for connection in self._resting if not connection.over]
+        for connection in kept[: max(0, len(kept) - int(self._limit * REST_SHARE))]:
+            if now - connection.since_ms <= SHY_MS:
+                break
+            connection.close_if_unread()
+
     def _wait(self) -> None:
         self._pause()
         asyncio.get_running_loop().call_later(RETRY_S, self._resume)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,6 +7,8 @@
 import pytest
 from loopback import CacheBox, good, play, request, rig, status, until
 
+from corkshift.frontend import IDLE_MS, REST_SHARE
+
 HIDDEN = request("hidden")
 BAD = {
     # A head with both lengths may hide a request in its body (guards against serving the hidden one as another's).
@@ -143,3 +145,28 @@
             await until(lambda: slow.open == 0)
 
     play(test)
+
+
+def test_connections_kept_after_one_request_make_way_long_before_their_rest_is_over() -> None:
+    # Guards against places held by clients that ask once and stay, here and among the connections that a client may have.
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            kept = [await asyncio.open_connection("127.0.0.1", made.port) for _ in range(24)]
+            for n, (reader, writer) in enumerate(kept):
+                writer.write(request(f"a{n}"))
+                assert status(await reader.readuntil(b"for /api/k")) == 200
+            share = int(32 * REST_SHARE)
+            assert share < len(kept)
+            for reader, _ in kept[:-share]:
+                assert await reader.read() == b""
+            assert loop.time() - begun < IDLE_MS / 1000.0 * 0.8
+            # Those that asked last are as good as before.
+            for n, (reader, writer) in enumerate(kept[-share:]):
+                writer.write(request(f"b{n}"))
+                assert status(await reader.readuntil(b"for /api/k")) == 200
+            for _, writer in kept:
+                writer.transport.abort()
+
+    play(test)
