--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -343,7 +343,7 @@
             if info.started_ms != member.info.started_ms:
                 # The same server started again: whatever was held against it is over.
                 member.strikes = 0
-                member.waited = 0
+                member.waited, member.trial = 0, -1
                 member.out_until = 0.0
                 member.warm_ms = info.started_ms
             was, drained = member.present, member.info.state == "draining"
@@ -827,8 +827,8 @@
 
         Guards against an attempt whose answer will not come, or not in time, whatever has become of it: a connection gone
         silent, an answer cut short, a server that hangs. A server that has answered others meanwhile is asked itself, as it
-        holds or fetches the key; else the next one is. Savings for repeats bound the load that this adds; where hits are
-        slow at large or the origin is in trouble a second copy would feed what delays the first, and none is sent.
+        holds or fetches the key; else the next one is. Savings for repeats bound the load that this adds. Harm: a second copy
+        would feed what delays the first where answers are slow at large or the origin is in trouble; none is sent there.
         """
         last = max(request.out)
         member = request.servers[last]
