--- /dev/null
+++ b/corkshift/cli/__init__.py
@@ -0,0 +1,33 @@
+"""The command line. Each command's code is imported only when it is asked for."""
+
+from __future__ import annotations
+
+import argparse
+
+__all__ = ["command"]
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="gradeshift",
+        description="A node between clients and read-through cache servers. With no command it serves as PROXY_CONFIG tells.",
+    )
+    parser.add_argument("--operator", metavar="FILE", help="the operator's file (or the variable GRADESHIFT_OPERATOR)")
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    commands.add_parser("run", help="serve as PROXY_CONFIG tells (the same as no command)")
+    check = commands.add_parser("check", help="validate a node's configuration or an operator's file")
+    check.add_argument("file", metavar="FILE")
+    return parser
+
+
+def command(arguments: list[str]) -> int:
+    """Carry out one command; the exit code (2 where the arguments are wrong)."""
+    parser = _parser()
+    args = parser.parse_args(arguments)
+    if args.command == "check":
+        from corkshift.cli.check import check
+
+        return check(args.file)
+    from corkshift.__main__ import serve
+
+    return serve(args.operator)
--- /dev/null
+++ b/corkshift/cli/nodefile.py
@@ -0,0 +1,110 @@
+"""The form of a node's configuration (the file that PROXY_CONFIG names), for `check`.
+
+Keys that are not named here are skipped, as the protocol asks; those that the node reads are all here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal, Optional
+
+import msgspec
+
+from corkshift.cli.schema import Fault, Table
+from corkshift.config import address_of
+
+Millis = Annotated[float, msgspec.Meta(ge=0.0, le=86_400_000.0)]
+Some = Annotated[int, msgspec.Meta(ge=1)]
+Word = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class Service(Table, frozen=True, kw_only=True, rename="camel"):
+    """One request class."""
+
+    name: Word
+    idempotency: Literal["safe", "keyed", "unsafe"] = "unsafe"
+    group: Literal["", "all", "zone", "cell"] = ""
+    promise_ms: Millis = 0.0
+    deadline_ms: Millis = 0.0
+    window_ms: Millis = 0.0
+    late_value: float = 0.0
+    worth: float = 1.0
+    aim_stretch: float = 0.0
+
+    def contradictions(self) -> Iterator[Fault]:
+        if self.deadline_ms and self.promise_ms > self.deadline_ms:
+            yield Fault("promiseMs", f"must not exceed deadlineMs ({self.deadline_ms:g}), got {self.promise_ms:g}")
+        if self.idempotency == "keyed" and not (self.group and self.window_ms):
+            yield Fault("idempotency", "a keyed class needs group and windowMs, or repeats are never dropped")
+
+
+class Allowed(Table, frozen=True, kw_only=True, rename="camel"):
+    """What the site permits."""
+
+    most_tries: Some = 1
+    max_open: Some = 10_000
+    may_cancel: bool = False
+    probes: bool = False
+    retry_after: bool = False
+    max_retry_after_ms: Millis = 0.0
+    dial_timeout_ms: Millis = 250.0
+    conn_idle_ms: Millis = 15_000.0
+
+
+class Contract(Table, frozen=True, kw_only=True, rename="camel"):
+    """The figures of the four rules."""
+
+    must_ask_in_ms: Millis = 10_000.0
+    stop_sending_within_ms: Millis = 250.0
+    cold_from: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.1
+    cold_ms: Millis = 30_000.0
+
+
+class Options(Table, frozen=True, kw_only=True):
+    """`settings`."""
+
+    services: Annotated[list[Service], msgspec.Meta(min_length=1)]
+    discovery: str = ""
+    allowed: Optional[Allowed] = None
+    contract: Optional[Contract] = None
+
+    def contradictions(self) -> Iterator[Fault]:
+        names = [service.name for service in self.services]
+        for n, name in enumerate(names):
+            if name in names[:n]:
+                yield Fault(f"services[{n}].name", f"a class of this name stands before it: {name}")
+
+
+class Limits(Table, frozen=True, kw_only=True):
+    """`limits`."""
+
+    cores: Annotated[float, msgspec.Meta(gt=0.0)] = 1.0
+    memory_mb: Some = 128
+    sockets: Some = 1_024
+
+
+class NodeFile(Table, frozen=True, kw_only=True):
+    """The whole file."""
+
+    listen: str
+    discovery: Optional[str] = None
+    name: str = "node"
+    seed: int | str = 0
+    limits: Optional[Limits] = None
+    known: Optional[dict[str, Any]] = None
+    settings: Options
+
+    def contradictions(self) -> Iterator[Fault]:
+        for key, text in (("listen", self.listen), ("discovery", self.discovery)):
+            if text is not None:
+                try:
+                    address_of(text)
+                except ValueError:
+                    yield Fault(key, f"host:port with a port from 1 to 65535, got {text!r}")
+        if isinstance(self.seed, str):
+            try:
+                int(self.seed, 16)
+            except ValueError:
+                yield Fault("seed", f"a number or hex digits, got {self.seed!r}")
+        if self.listen == self.discovery:
+            yield Fault("discovery", "is the address that the node itself listens on")
--- /dev/null
+++ b/corkshift/cli/operator.py
@@ -0,0 +1,69 @@
+"""The operator's file: what is switched on beyond the platform's own configuration (docs/operator-file.md)."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from typing import Annotated, Literal, Optional
+
+import msgspec
+
+from corkshift import seam
+from corkshift.cli.schema import Fault, Table, examine
+
+Count = Annotated[int, msgspec.Meta(ge=1, le=256)]
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Rate = Annotated[float, msgspec.Meta(gt=0.0, le=5_000.0)]
+Span = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
+
+
+class BadOperatorFile(Exception):
+    """The operator's file can't be read or has faults; one line each."""
+
+    def __init__(self, path: str, faults: list[Fault]) -> None:
+        super().__init__("\n".join(f"{path}: {fault}" for fault in faults))
+        self.faults = faults
+
+
+class Demo(Table, frozen=True, kw_only=True):
+    """`[demo]`: the size of the installation that `gradeshift demo` starts."""
+
+    boxes: Count = 6
+    cold_boxes: Annotated[int, msgspec.Meta(ge=0, le=256)] = 0
+    clients: Count = 24
+    requests_per_s: Rate = 150.0
+    write_share: Share = 0.08
+    keys: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 2_000
+    book_places: Count = 8
+    seconds: Optional[Span] = None
+
+    def contradictions(self) -> Iterator[Fault]:
+        if self.cold_boxes >= self.boxes:
+            yield Fault("cold_boxes", f"must be fewer than boxes ({self.boxes}), got {self.cold_boxes}")
+
+
+class Operator(Table, frozen=True, kw_only=True):
+    """The whole file. A table that is absent leaves its feature off."""
+
+    format: Literal[1]
+    demo: Optional[Demo] = None
+
+
+def parse(text: bytes, path: str) -> Operator:
+    """Read a file's text; BadOperatorFile names every fault."""
+    try:
+        data = tomllib.loads(text.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise BadOperatorFile(path, [Fault("", f"not TOML: {error}")]) from None
+    if faults := examine(Operator, data):
+        raise BadOperatorFile(path, faults)
+    return msgspec.convert(data, Operator)
+
+
+def read(path: str) -> Operator:
+    """Read a file; BadOperatorFile also where it can't be opened."""
+    try:
+        text = seam.read_file(path)
+    except OSError as error:
+        raise BadOperatorFile(path, [Fault("", f"cannot read it: {error.strerror}")]) from None
+    return parse(text, path)
--- a/corkshift/config.py
+++ b/corkshift/config.py
@@ -4,16 +4,15 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 import orjson
 
+from corkshift import seam
+from corkshift.seam import Address
 from forkweir import Settings
 from forkweir.adapter import settings_of
 
-Address = tuple[str, int]
-
 
 class BadConfig(Exception):
     """The configuration is missing or malformed."""
@@ -51,7 +50,7 @@
     if not path:
         raise BadConfig("PROXY_CONFIG is not set")
     try:
-        data = orjson.loads(Path(path).read_bytes())
+        data = orjson.loads(seam.read_file(path))
     except OSError as error:
         raise BadConfig(f"cannot read {path}: {error.strerror}") from None
     except orjson.JSONDecodeError as error:
--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -5,16 +5,16 @@
 import asyncio
 import logging
 import re
-import socket
 from collections.abc import AsyncIterator
 from typing import Any, Optional
 
 import h11
 import orjson
 
-from corkshift.clock import now_ms
-from corkshift.config import Address, address_of
+from corkshift import seam
+from corkshift.config import address_of
 from corkshift.node import Node
+from corkshift.seam import Address, now_ms
 from corkshift.stream import Stream
 from corkshift.upstream import CacheServer, Pool
 from forkweir import Server
@@ -87,11 +87,11 @@
 
     async def _lines(self) -> AsyncIterator[bytes]:
         """The watch's lines as they come whole."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        sock = seam.stream()
         stream = None
         try:
             async with asyncio.timeout(CALL_S):
-                await asyncio.get_running_loop().sock_connect(sock, self._address)
+                await seam.connect(sock, self._address)
                 stream = Stream(sock)
                 after = "" if self._generation is None else f"&after={self._generation}"
                 parser = h11.Connection(h11.CLIENT)
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -5,19 +5,18 @@
 import asyncio
 import logging
 import re
-import socket
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Optional
 
 import h11
 
+from corkshift import seam
 from corkshift.budget import LONGEST, PIECES, BodyBudget
-from corkshift.clock import now_ms
-from corkshift.config import Address
 from corkshift.messages import Answer, Call
 from corkshift.node import Node
-from corkshift.stream import CHUNK, Stream, bound_buffers
+from corkshift.seam import Address, Socket, now_ms
+from corkshift.stream import CHUNK, KERNEL_BUFFER, Stream
 
 log = logging.getLogger(__name__)
 
@@ -54,7 +53,7 @@
 class ClientConnection:
     """One client: requests are read ahead and answered in their order."""
 
-    def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
+    def __init__(self, frontend: Frontend, sock: Socket) -> None:
         self._frontend = frontend
         self.since_ms = now_ms()  # of its rest, or of the start of the request that is not whole yet
         self.partial = False  # a part of a request has come
@@ -270,10 +269,7 @@
         self._resting: dict[ClientConnection, None] = {}
         self._accepting = False
         self._empty = asyncio.Event()
-        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound_buffers(self._listener)  # accepted sockets inherit it
-        self._listener.bind(address)
+        self._listener = seam.listen(address, KERNEL_BUFFER)
 
     @property
     def address(self) -> Address:
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Iterable
 from typing import Optional
 
-from corkshift.clock import now_ms
 from corkshift.config import Config
 from corkshift.messages import Answer, Call
+from corkshift.seam import now_ms
 from corkshift.upstream import Attempt, CacheServer, Outcome, Pool
 from forkweir import Action, Balancer, Server
 
--- /dev/null
+++ b/corkshift/seam/__init__.py
@@ -0,0 +1,147 @@
+"""The seam: the one place through which the node touches the system.
+
+Clocks, sockets, files, the environment and signals are reached here, timers and readiness through the running asyncio
+loop, and nothing in `corkshift` or `forkweir` goes past either (tests/test_seam.py scans for it). There is a real side,
+`System`, and a virtual one in the package `testbed`, on which the same code runs on virtual time. Which side is in force
+is a context variable, so that many virtual processes share one loop, each with a clock, sockets and files of its own.
+
+Bounds: the seam adds one look-up and one call to each reading of the clock and each new socket, and nothing to a read or
+a write, which go to the socket itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import time
+from collections.abc import Mapping
+from contextvars import ContextVar
+from pathlib import Path
+from typing import Any, Protocol, cast
+
+Address = tuple[str, int]
+
+
+class Socket(Protocol):
+    """What the node uses of a non-blocking socket, in the words and with the errors of the standard library."""
+
+    def fileno(self) -> int: ...
+    def setblocking(self, flag: bool, /) -> None: ...
+    def setsockopt(self, level: int, option: int, value: Any, /) -> None: ...
+    def bind(self, address: Any, /) -> None: ...
+    def listen(self, backlog: int = ..., /) -> None: ...
+    def accept(self) -> tuple[Any, Any]: ...
+    def getsockname(self) -> Any: ...
+    def send(self, data: Any, /) -> int: ...
+    def recv_into(self, buffer: Any, /) -> int: ...
+    def sendto(self, data: Any, address: Any, /) -> int: ...
+    def recvfrom(self, size: int, /) -> tuple[bytes, Any]: ...
+    def shutdown(self, how: int, /) -> None: ...
+    def close(self) -> None: ...
+
+
+class Seam(Protocol):
+    """One side of the seam."""
+
+    def now_ms(self) -> float:
+        """Unix time in ms, fixed at the process's start and carried on by the monotonic clock: it never goes back."""
+        ...
+
+    def stream(self) -> Socket:
+        """A new non-blocking TCP socket; OSError where there are no descriptors left."""
+        ...
+
+    def datagram(self) -> Socket:
+        """A new non-blocking UDP socket; OSError as above."""
+        ...
+
+    def read_file(self, path: str) -> bytes:
+        """A file's content; OSError as `open` raises it."""
+        ...
+
+    def environ(self) -> Mapping[str, str]:
+        """The process's environment."""
+        ...
+
+
+class System:
+    """The real side: the operating system."""
+
+    __slots__ = ("_start_ms",)
+
+    def __init__(self) -> None:
+        self._start_ms = time.time() * 1000.0 - time.monotonic() * 1000.0
+
+    def now_ms(self) -> float:
+        return self._start_ms + time.monotonic() * 1000.0
+
+    def stream(self) -> Socket:
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+
+    def datagram(self) -> Socket:
+        return socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+
+    def read_file(self, path: str) -> bytes:
+        return Path(path).read_bytes()
+
+    def environ(self) -> Mapping[str, str]:
+        return os.environ
+
+
+_SYSTEM: Seam = System()
+SIDE: ContextVar[Seam] = ContextVar("corkshift_seam", default=_SYSTEM)
+
+
+def enter(side: Seam) -> None:
+    """Put a side in force for the current context, and for the tasks and timers that it starts from here on."""
+    SIDE.set(side)
+
+
+def now_ms() -> float:
+    """Unix time in milliseconds that never goes back (so `startedAtMs` compares and timers hold)."""
+    return SIDE.get().now_ms()
+
+
+def stream() -> Socket:
+    """A new non-blocking TCP socket."""
+    return SIDE.get().stream()
+
+
+def datagram() -> Socket:
+    """A new non-blocking UDP socket."""
+    return SIDE.get().datagram()
+
+
+def read_file(path: str) -> bytes:
+    """A file's content."""
+    return SIDE.get().read_file(path)
+
+
+def environ() -> Mapping[str, str]:
+    """The process's environment."""
+    return SIDE.get().environ()
+
+
+async def connect(sock: Socket, address: Address) -> None:
+    """Connect a socket; OSError when it is refused. Never answered, it waits until it is cancelled."""
+    await asyncio.get_running_loop().sock_connect(cast(socket.socket, sock), address)
+
+
+def listen(address: Address, buffers: int) -> Socket:
+    """A bound TCP socket whose connections inherit these buffer sizes (bytes); it listens once told to. OSError if taken."""
+    sock = stream()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound_buffers(sock, buffers)
+        sock.bind(address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def bound_buffers(sock: Socket, size: int) -> None:
+    """Keep the kernel from growing a socket's buffers to megabytes (they count as the node's memory)."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
--- /dev/null
+++ b/corkshift/service.py
@@ -0,0 +1,68 @@
+"""One node's life: its parts put together, reload on SIGHUP, drain on SIGTERM. Runs on either side of the seam."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+
+from corkshift import seam
+from corkshift.config import BadConfig, Config, load
+from corkshift.discovery import Discovery
+from corkshift.frontend import Frontend
+from corkshift.node import Node
+from corkshift.upstream import Pool
+
+log = logging.getLogger("corkshift")
+
+BODY_SHARE = (1 << 20) // 8  # bytes of request bodies for each megabyte of the memory limit
+
+
+class Service:
+    """A node and what belongs to it, from its start to the end of its drain."""
+
+    def __init__(self, config: Config) -> None:
+        # Descriptors: seven sixteenths for cache servers, nine for clients, after a reserve for all else (a dozen are in use).
+        # Each open request holds one of either kind, and clients have others that rest.
+        sockets = max(16, config.sockets - min(24, config.sockets // 4))
+        upstream = sockets * 7 // 16
+        self.config = config
+        self.pool = Pool(upstream, config.dial_timeout_ms, config.conn_idle_ms)
+        self.node = Node(config, self.pool, min(config.max_open, upstream))
+        self.frontend = Frontend(self.node, config.listen, sockets - upstream, config.memory_mb * BODY_SHARE)
+        self.discovery = Discovery(self.node, self.pool, config.discovery)
+        self.node.follow = self.discovery.follow
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        self.discovery.start(self.config.known)
+        self.frontend.start()
+        await self._stop.wait()
+        await self.frontend.drain()
+
+    def reload(self) -> None:
+        """Read the file again and go where discovery is now; a file that is of no use changes nothing.
+
+        Guards against SIGHUP, which ends a process that does not handle it. Only `discovery` can change in a running node; the
+        rest (limits, settings, where it listens) is what open requests were decided by, and waits for the next start.
+        """
+        config = self.config
+        try:
+            fresh = load(seam.environ())
+        except BadConfig as error:
+            log.error("reload: %s; the old configuration stays in force", error)
+            return
+        log.info("reload: discovery is at %s:%d", *fresh.discovery)
+        if fresh.known != config.known or fresh.settings != config.settings or fresh.listen != config.listen:
+            log.info("reload: what else has changed waits for the next start")
+        self.discovery.move(fresh.discovery)
+
+
+async def run(config: Config) -> None:
+    """Serve until SIGTERM or SIGINT, then drain. OSError where it cannot listen."""
+    await Service(config).run()
--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -10,6 +10,8 @@
 from contextlib import suppress
 from typing import Optional
 
+from corkshift.seam import Socket
+
 CHUNK = 65_536  # bytes of one read, and of input held before reading pauses
 KERNEL_BUFFER = 65_536  # asked of the kernel for each direction; it doubles this for its own overhead
 LINGER_S = 1.0  # how long a closing connection waits for its peer's end,
@@ -19,18 +21,12 @@
 _SCRATCH = memoryview(bytearray(CHUNK))  # all reads land here first (guards against a large block allocated for each small read)
 
 
-def bound_buffers(sock: socket.socket) -> None:
-    """Keep the kernel from growing a socket's buffers to megabytes (they count as the node's memory)."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER)
-
-
 class Stream:
     """One connection. Reads go on by themselves until the buffer is full; writes end when the kernel has the bytes."""
 
     __slots__ = ("_loop", "_sock", "_in", "_held", "_reading", "_reader", "_writer", "ended", "error", "closed", "notice", "_overdue")
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: Socket) -> None:
         self._loop = asyncio.get_running_loop()
         self._sock = sock
         self._in: deque[bytes] = deque()
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -11,11 +10,11 @@
 
 import h11
 
+from corkshift import seam
 from corkshift.budget import LONGEST, PIECES
-from corkshift.clock import now_ms
-from corkshift.config import Address
 from corkshift.messages import Call
-from corkshift.stream import CHUNK, Stream, bound_buffers
+from corkshift.seam import Address, now_ms
+from corkshift.stream import CHUNK, KERNEL_BUFFER, Stream
 
 MAX_HEAD = 16_384  # bytes of an answer's head, of a chunk's header or of trailers
 MOST_NOTICES = 8  # 1xx answers ahead of the final one
@@ -85,14 +84,14 @@
             self.drop(oldest)
         self._open += 1
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = seam.stream()
         except OSError as error:
             self._open -= 1
             raise NotSent(f"no socket: {error}") from None
         try:
-            bound_buffers(sock)
+            seam.bound_buffers(sock, KERNEL_BUFFER)
             async with asyncio.timeout(self._dial_s):
-                await asyncio.get_running_loop().sock_connect(sock, server.address)
+                await seam.connect(sock, server.address)
             return Stream(sock)
         except BaseException:
             sock.close()
--- /dev/null
+++ b/testbed/loop.py
@@ -0,0 +1,240 @@
+"""An asyncio event loop on virtual time.
+
+It never sleeps: when nothing is ready, the clock jumps to the next timer. What becomes due in one instant (timers and
+sockets alike) runs in an order drawn from the seed, so that both orders of two events are explored; what is called soon
+keeps its order, as asyncio promises. Time is whole microseconds.
+
+Model: FoundationDB's Net2/Sim2 and tokio's turmoil. Bounds: one thread, no executor, no name look-ups, no subprocesses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextvars import Context, copy_context
+from heapq import heapify, heappop, heappush
+from math import ceil
+from typing import TYPE_CHECKING, Any, Optional, TypeVarTuple
+
+from corkshift import seam
+
+if TYPE_CHECKING:
+    from testbed.net import VirtualSocket
+    from testbed.process import Process
+
+LIVELOCK = 20_000  # turns in one instant: something spins without making progress
+CANCELLED_MOST = 512  # cancelled timers that may wait in the heap before they are swept out
+
+_Ts = TypeVarTuple("_Ts")
+
+
+class Livelock(RuntimeError):
+    """The clock stands still while callbacks go on: something spins."""
+
+
+class Deadlock(RuntimeError):
+    """Nothing is left to happen, and the main task has not ended."""
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """One world's loop. All of its processes share it; each callback belongs to the process whose context it runs in."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__()
+        self.now_us = 0
+        self.steps = 0  # callbacks run
+        self.after_step: Optional[Callable[[Process], None]] = None  # called after each callback of a process
+        self._order = random.Random(f"order/{seed}")
+        self._due: list[tuple[int, float, int, asyncio.TimerHandle]] = []
+        self._number = 0
+        self._cancelled = 0
+        self._readers: dict[VirtualSocket, asyncio.Handle] = {}
+        self._writers: dict[VirtualSocket, asyncio.Handle] = {}
+        self._hot: dict[VirtualSocket, None] = {}  # sockets that may be ready
+        self._turns = 0  # in this instant
+        self.set_task_factory(_make_task)
+
+    # -- time ----------------------------------------------------------------------------
+
+    def time(self) -> float:
+        """Virtual seconds since the world began."""
+        return self.now_us / 1e6
+
+    def call_at(
+        self, when: float, callback: Callable[[*_Ts], object], *args: *_Ts, context: Optional[Context] = None
+    ) -> asyncio.TimerHandle:
+        return self._at(ceil(when * 1e6 - 1e-3), callback, args, context)
+
+    def after_us(self, delay_us: int, callback: Callable[..., object], *args: Any) -> asyncio.TimerHandle:
+        """Call back after so many microseconds, on behalf of the world and of no process."""
+        return self._at(self.now_us + delay_us, callback, args, _WORLD)
+
+    def _at(
+        self, due_us: int, callback: Callable[..., object], args: Any, context: Optional[Context]
+    ) -> asyncio.TimerHandle:
+        handle = asyncio.TimerHandle(due_us / 1e6, callback, args, self, context)
+        self._number += 1
+        heappush(self._due, (max(self.now_us, due_us), self._order.random(), self._number, handle))
+        handle._scheduled = True  # type: ignore[attr-defined]
+        return handle
+
+    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
+        self._cancelled += 1
+        if self._cancelled > CANCELLED_MOST and self._cancelled * 2 > len(self._due):
+            self._due = [entry for entry in self._due if not entry[3].cancelled()]
+            heapify(self._due)
+            self._cancelled = 0
+
+    def timers(self) -> list[asyncio.TimerHandle]:
+        """Every timer that is still to come, in the order in which it will."""
+        return [entry[3] for entry in sorted(self._due, key=lambda entry: entry[:3]) if not entry[3].cancelled()]
+
+    # -- readiness -----------------------------------------------------------------------
+
+    def add_reader(self, fd: Any, callback: Callable[[*_Ts], object], *args: *_Ts) -> None:
+        self._watch(self._readers, fd, callback, args)
+
+    def remove_reader(self, fd: Any) -> bool:
+        return self._unwatch(self._readers, fd)
+
+    def add_writer(self, fd: Any, callback: Callable[[*_Ts], object], *args: *_Ts) -> None:
+        self._watch(self._writers, fd, callback, args)
+
+    def remove_writer(self, fd: Any) -> bool:
+        return self._unwatch(self._writers, fd)
+
+    def poke(self, sock: VirtualSocket) -> None:
+        """A socket's state has changed: it may be ready now."""
+        self._hot[sock] = None
+
+    def forget(self, sock: VirtualSocket) -> None:
+        """A socket is closed: the kernel reports it no more."""
+        self._unwatch(self._readers, sock)
+        self._unwatch(self._writers, sock)
+        self._hot.pop(sock, None)
+
+    def _watch(
+        self,
+        which: dict[VirtualSocket, asyncio.Handle],
+        sock: VirtualSocket,
+        callback: Callable[..., object],
+        args: Any,
+    ) -> None:
+        if sock.closed:
+            raise ValueError("the socket is closed")
+        self._unwatch(which, sock)
+        which[sock] = asyncio.Handle(callback, args, self)
+        self.poke(sock)
+
+    def _unwatch(self, which: dict[VirtualSocket, asyncio.Handle], sock: VirtualSocket) -> bool:
+        handle = which.pop(sock, None)
+        if handle is None:
+            return False
+        handle.cancel()
+        return True
+
+    async def sock_connect(self, sock: Any, address: Any) -> None:
+        """Connect a virtual socket; OSError as the kernel has it."""
+        done: asyncio.Future[None] = self.create_future()
+        sock.connect(address, done)
+        await done
+
+    def add_signal_handler(self, sig: int, callback: Callable[[*_Ts], object], *args: *_Ts) -> None:
+        """A handler of the process whose code calls this."""
+        owner = _owner_of(copy_context())
+        if owner is None:
+            raise RuntimeError("only a virtual process has signals")
+        owner.handlers[sig] = asyncio.Handle(callback, args, self)
+
+    def remove_signal_handler(self, sig: int) -> bool:
+        owner = _owner_of(copy_context())
+        return owner is not None and owner.handlers.pop(sig, None) is not None
+
+    # -- turns ---------------------------------------------------------------------------
+
+    def _run_once(self) -> None:
+        ready: Any = self._ready  # type: ignore[attr-defined]
+        self._gather(ready)
+        if not ready:
+            while self._due and self._due[0][3].cancelled():
+                heappop(self._due)
+                self._cancelled -= 1
+            if not self._due:
+                raise Deadlock("nothing is left to happen")
+            self.now_us = self._due[0][0]
+            self._turns = 0
+            self._gather(ready)
+        self._turns += 1
+        if self._turns > LIVELOCK:
+            raise Livelock(f"{LIVELOCK} turns at {self.now_us} us; the last is {ready[0]!r}" if ready else "spinning")
+        for _ in range(len(ready)):
+            self._run(ready.popleft())
+
+    def _run(self, handle: asyncio.Handle) -> None:
+        if handle.cancelled():
+            return
+        owner = _owner_of(handle._context)  # type: ignore[attr-defined]
+        if owner is None:
+            handle._run()
+            return
+        if not owner.running:
+            owner.hold(handle)
+            return
+        self.steps += 1
+        handle._run()
+        if self.after_step is not None:
+            self.after_step(owner)
+
+    def _gather(self, ready: Any) -> None:
+        """Queue what is due now and what is ready, in a drawn order."""
+        due = self._due
+        fresh: list[asyncio.Handle] = []
+        while due and due[0][0] <= self.now_us:
+            handle = heappop(due)[3]
+            if handle.cancelled():
+                self._cancelled -= 1
+            else:
+                handle._scheduled = False  # type: ignore[attr-defined]
+                fresh.append(handle)
+        hot: list[asyncio.Handle] = []
+        for sock in list(self._hot):
+            reader, writer = self._readers.get(sock), self._writers.get(sock)
+            reads, writes = reader is not None and sock.readable, writer is not None and sock.writable
+            if reads and reader is not None:
+                hot.append(reader)
+            if writes and writer is not None:
+                hot.append(writer)
+            if not (reads or writes):
+                del self._hot[sock]
+        if hot and len(fresh) + len(hot) > 1:
+            fresh += hot
+            self._order.shuffle(fresh)
+        else:
+            fresh += hot
+        ready.extend(fresh)
+
+    # -- what a loop must have -----------------------------------------------------------
+
+    def _process_events(self, event_list: Any) -> None:
+        """Nothing comes from a selector."""
+
+    def _write_to_self(self) -> None:
+        """Nobody waits in a selector."""
+
+
+def _make_task(loop: asyncio.AbstractEventLoop, coro: Any, **options: Any) -> asyncio.Task[Any]:
+    """A task that its process keeps: what a killed one leaves behind must not be collected, and so run its last lines."""
+    task: asyncio.Task[Any] = asyncio.Task(coro, loop=loop, **options)
+    owner = _owner_of(options.get("context") or copy_context())
+    if owner is not None:
+        owner.keep(task)
+    return task
+
+
+def _owner_of(context: Context) -> Optional[Process]:
+    side = context.get(seam.SIDE)
+    return side if side is not None and getattr(side, "virtual", False) else None  # type: ignore[return-value]
+
+
+_WORLD = Context()
--- /dev/null
+++ b/testbed/net.py
@@ -0,0 +1,651 @@
+"""A virtual network: TCP and UDP as a program sees them through non-blocking sockets, with links that can be hurt.
+
+What is modelled: buffers on both sides with partial writes and EAGAIN, flow control by the receiver's window, segments in
+order with latency, jitter, bandwidth and retransmission, FIN and half close, RST with unread data and with SO_LINGER 0,
+the accept backlog, dials that are refused or never answered, hosts that vanish, links cut one way or both, and datagrams
+that are lost, doubled, reordered or late. What is not: congestion control, Nagle, urgent data, path MTU. The parity suite
+(tests/testbed/test_parity.py) holds what the node's stream layer sees here against the kernel's sockets.
+
+Units: microseconds and bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import random
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Optional
+
+from corkshift.seam import Address
+
+if TYPE_CHECKING:
+    from testbed.loop import VirtualLoop
+    from testbed.process import Process
+
+BUFFER = 131_072  # bytes of a socket's buffer in each direction where nothing is asked (a kernel doubles what is asked)
+SEGMENT = 16_384  # bytes carried at once
+RTO_US = 200_000  # the first retransmission; doubles up to the longest
+RTO_MAX_US = 3_200_000
+SYN_US = 1_000_000  # the first repeat of a SYN; doubles
+DATAGRAMS = 212_992  # bytes that wait to be read from a UDP socket
+DATAGRAM_MOST = 65_507
+EPHEMERAL = 32_768
+LINGER_OFF = struct.pack("ii", 0, 0)
+
+
+def failure(number: int) -> OSError:
+    """The OSError that the kernel's errno makes (with its proper subclass)."""
+    return OSError(number, os.strerror(number))
+
+
+@dataclass(slots=True)
+class Link:
+    """One direction between two hosts."""
+
+    latency_us: int = 250
+    jitter_us: int = 0
+    bandwidth: int = 0  # bytes a second; 0 has no limit
+    loss: float = 0.0  # of segments and datagrams
+    double: float = 0.0  # of datagrams
+    late: float = 0.0  # of datagrams, which others overtake
+    late_us: int = 5_000
+    cut: bool = False
+    free_us: int = 0  # when the line has carried what was put on it
+    datagram_us: int = 0  # when the last datagram arrives: none overtakes another but where it is drawn so
+
+
+@dataclass(slots=True)
+class Trip:
+    """A fault that waits for a byte: after so many bytes one way on a connection, something happens in mid-write."""
+
+    source: str  # host that writes
+    target: str  # host that is written to
+    after: int  # bytes
+    action: Callable[[VirtualSocket], None]
+    connections: int = 1  # how many connections it catches
+
+
+class Pipe:
+    """What is on the way from one end to the other: segments in order, the head's arrival scheduled."""
+
+    __slots__ = ("net", "source", "queue", "last_us", "rto_us", "moving")
+
+    def __init__(self, net: Network, source: VirtualSocket) -> None:
+        self.net = net
+        self.source = source
+        self.queue: deque[tuple[int, bytes | str]] = deque()  # when due, bytes or "fin" or "rst"
+        self.last_us = 0
+        self.rto_us = RTO_US
+        self.moving = False
+
+    def put(self, what: bytes | str) -> None:
+        """Send a segment on its way."""
+        net, source = self.net, self.source
+        assert source.peer is not None
+        link = net.link(source.host, source.peer.host)
+        due = max(net.flight(link, len(what) if isinstance(what, bytes) else 40), self.last_us)
+        if link.loss and net.rng.random() < link.loss:
+            due += RTO_US
+        self.last_us = due
+        self.queue.append((due, what))
+        if not self.moving:
+            self._move(due)
+
+    def _move(self, due: int) -> None:
+        self.moving = True
+        self.net.loop.after_us(max(0, due - self.net.loop.now_us), self._arrive)
+
+    def _arrive(self) -> None:
+        self.moving = False
+        if not self.queue:
+            return
+        net, source = self.net, self.source
+        target = source.peer
+        assert target is not None
+        _, what = self.queue[0]
+        if not net.reaches(source.host, target.host):
+            if source.dead:
+                self.queue.clear()  # nobody is left to send it again
+                return
+            self._move(net.loop.now_us + self.rto_us)
+            self.rto_us = min(RTO_MAX_US, self.rto_us * 2)
+            return
+        self.rto_us = RTO_US
+        self.queue.popleft()
+        if self.queue:
+            self._move(max(net.loop.now_us, self.queue[0][0]))
+        target.arrive(what)
+
+
+class VirtualSocket:
+    """One socket of a virtual process, in the words and with the errors of the standard library's."""
+
+    __slots__ = (
+        "net",
+        "process",
+        "host",
+        "number",
+        "kind",
+        "state",
+        "local",
+        "remote",
+        "peer",
+        "dialed",
+        "closed",
+        "dead",
+        "rx",
+        "rx_size",
+        "rx_end",
+        "error",
+        "reset",
+        "tx",
+        "flying",
+        "shut",
+        "fin_sent",
+        "pipe",
+        "receive_buffer",
+        "send_buffer",
+        "linger",
+        "backlog",
+        "waiting",
+        "connected",
+        "sent",
+        "trip",
+        "datagrams",
+        "datagram_size",
+        "born_us",
+    )
+
+    def __init__(self, net: Network, process: Optional[Process], host: str, kind: str) -> None:
+        self.net = net
+        self.process = process
+        self.host = host
+        self.number = net.next_number()
+        self.kind = kind  # stream or datagram
+        self.state = "new"  # new, listening, dialing, open
+        self.local: Address = ("", 0)
+        self.remote: Address = ("", 0)
+        self.peer: Optional[VirtualSocket] = None
+        self.dialed = False
+        self.closed = False  # by its program
+        self.dead = False  # nothing more is sent, not even again
+        self.rx: deque[bytes] = deque()
+        self.rx_size = 0
+        self.rx_end = False  # the peer's FIN has come
+        self.error = 0  # told once
+        self.reset = False
+        self.tx = bytearray()
+        self.flying = 0
+        self.shut = False
+        self.fin_sent = False
+        self.pipe = Pipe(net, self)
+        self.receive_buffer = BUFFER
+        self.send_buffer = BUFFER
+        self.linger = False
+        self.backlog = 0
+        self.waiting: deque[VirtualSocket] = deque()
+        self.connected: Optional[asyncio.Future[None]] = None
+        self.sent = 0  # bytes taken from the program
+        self.trip: Optional[Trip] = None
+        self.datagrams: deque[tuple[bytes, Address]] = deque()
+        self.datagram_size = 0
+        self.born_us = net.loop.now_us
+
+    # -- the program's side --------------------------------------------------------------
+
+    def fileno(self) -> int:
+        return -1 if self.closed else self.number
+
+    def setblocking(self, flag: bool) -> None:
+        if flag:
+            raise ValueError("virtual sockets never block")
+
+    def setsockopt(self, level: int, option: int, value: Any) -> None:
+        self._check_open()
+        if level == socket.SOL_SOCKET and option == socket.SO_LINGER:
+            on, seconds = struct.unpack("ii", value)
+            self.linger = bool(on) and not seconds
+        elif level == socket.SOL_SOCKET and option == socket.SO_RCVBUF:
+            self.receive_buffer = 2 * value
+        elif level == socket.SOL_SOCKET and option == socket.SO_SNDBUF:
+            self.send_buffer = 2 * value
+
+    def bind(self, address: Any) -> None:
+        self._check_open()
+        self.net.bind(self, (address[0], address[1]))
+
+    def listen(self, backlog: int = 128) -> None:
+        self._check_open()
+        if not self.local[1]:
+            self.net.bind(self, (self.host, 0))
+        self.state, self.backlog = "listening", backlog
+        self.net.note("listen", self)
+
+    def accept(self) -> tuple[VirtualSocket, Address]:
+        """The oldest connection that waits. BlockingIOError where none does, EMFILE where there is no descriptor for it."""
+        self._check_open()
+        if self.state != "listening":
+            raise failure(errno.EINVAL)
+        if not self.waiting:
+            raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+        assert self.process is not None
+        self.process.check_descriptors()
+        sock = self.waiting.popleft()
+        self.process.adopt(sock)
+        self.net.note("accept", sock)
+        return sock, sock.remote
+
+    def getsockname(self) -> Address:
+        self._check_open()
+        return self.local
+
+    def connect(self, address: Address, done: asyncio.Future[None]) -> None:
+        """Begin to connect; the future ends when the connection is up, or with its error."""
+        self._check_open()
+        if not self.local[1]:
+            self.net.bind(self, (self.host, 0))
+        self.state, self.remote, self.connected, self.dialed = "dialing", (address[0], address[1]), done, True
+        self.net.note("dial", self)
+        self.net.send_syn(self, SYN_US)
+
+    def send(self, data: Any) -> int:
+        self._check_open()
+        if self.error:
+            number, self.error = self.error, 0
+            raise failure(number)
+        if self.shut or self.reset:
+            raise failure(errno.EPIPE)
+        if self.state != "open":
+            raise failure(errno.EPIPE if self.state == "new" else errno.EAGAIN)
+        size = len(data)
+        if not size:
+            return 0
+        room = self.send_buffer - len(self.tx) - self.flying
+        if room <= 0:
+            raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+        taken = min(size, room)
+        tripped = None
+        if self.trip is not None and self.sent + taken >= self.trip.after:
+            taken = max(0, self.trip.after - self.sent)
+            tripped, self.trip = self.trip, None
+        piece = bytes(memoryview(data)[:taken])
+        self.sent += taken
+        self.net.on_send(self, piece, size)
+        self.tx += piece
+        self.pump()
+        if tripped is not None:
+            tripped.action(self)
+            if not taken:
+                if self.error:
+                    number, self.error = self.error, 0
+                    raise failure(number)
+                raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+        return taken
+
+    def recv_into(self, buffer: Any) -> int:
+        self._check_open()
+        if self.rx:
+            view = memoryview(buffer)
+            size = 0
+            while self.rx and size < len(view):
+                piece = self.rx[0]
+                taken = min(len(piece), len(view) - size)
+                view[size : size + taken] = piece[:taken]
+                size += taken
+                if taken == len(piece):
+                    self.rx.popleft()
+                else:
+                    self.rx[0] = piece[taken:]
+            self.rx_size -= size
+            if self.peer is not None and self.peer.tx:
+                self.net.loop.after_us(self.net.delay(self.host, self.peer.host), self.peer.pump)
+            return size
+        if self.rx_end:
+            return 0
+        if self.error:
+            number, self.error = self.error, 0
+            raise failure(number)
+        if self.reset:
+            return 0
+        if self.state != "open":
+            raise failure(errno.ENOTCONN)
+        raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+
+    def sendto(self, data: Any, address: Any) -> int:
+        self._check_open()
+        if len(data) > DATAGRAM_MOST:
+            raise failure(errno.EMSGSIZE)
+        if not self.local[1]:
+            self.net.bind(self, (self.host, 0))
+        self.net.send_datagram(self, bytes(data), (address[0], address[1]))
+        return len(data)
+
+    def recvfrom(self, size: int) -> tuple[bytes, Address]:
+        self._check_open()
+        if not self.datagrams:
+            raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+        data, sender = self.datagrams.popleft()
+        self.datagram_size -= len(data)
+        return data[:size], sender
+
+    def shutdown(self, how: int) -> None:
+        self._check_open()
+        if self.state != "open" or self.reset:
+            raise failure(errno.ENOTCONN)
+        if how in (socket.SHUT_WR, socket.SHUT_RDWR) and not self.shut:
+            self.shut = True
+            self.net.note("shutdown", self)
+            self.pump()
+
+    def close(self) -> None:
+        """End the socket as the kernel does: an RST where it lingers for no time or holds unread input, else a FIN."""
+        if self.closed:
+            return
+        hard = self.linger or bool(self.rx)
+        self.closed = True
+        self.net.loop.forget(self)
+        if self.process is not None:
+            self.process.release(self)
+        self.net.unbind(self)
+        self.net.note("abort" if hard else "close", self)
+        if self.state == "listening":
+            for sock in self.waiting:
+                sock.linger = True
+                sock.close()
+            self.waiting.clear()
+        elif self.state == "open" and not self.reset:
+            if hard:
+                self.send_reset()
+            else:
+                self.shut = True
+                self.pump()
+        elif self.state == "dialing":
+            self.dead = True
+        self.rx.clear()
+
+    # -- the kernel's side ---------------------------------------------------------------
+
+    @property
+    def readable(self) -> bool:
+        """Whether a read or an accept would not block."""
+        return bool(self.rx or self.rx_end or self.error or self.reset or self.waiting or self.datagrams)
+
+    @property
+    def writable(self) -> bool:
+        """Whether a third of the send buffer is free, as the kernel has it, or a write would fail."""
+        if self.kind == "datagram" or self.error or self.reset or self.shut:
+            return True
+        return self.state == "open" and 3 * (len(self.tx) + self.flying) <= 2 * self.send_buffer
+
+    def pump(self) -> None:
+        """Send what the peer has room for, and the end after the last byte."""
+        peer = self.peer
+        if peer is None or self.dead or self.state != "open":
+            return
+        while self.tx:
+            size = min(SEGMENT, len(self.tx), peer.receive_buffer - peer.rx_size - self.flying)
+            if size <= 0:
+                return
+            piece = bytes(self.tx[:size])
+            del self.tx[:size]
+            self.flying += size
+            self.pipe.put(piece)
+        if self.shut and not self.fin_sent:
+            self.fin_sent = True
+            self.pipe.put("fin")
+
+    def send_reset(self) -> None:
+        """End the connection at once: what has not been sent is dropped."""
+        self.tx.clear()
+        self.dead = True
+        if self.peer is not None:
+            self.pipe.put("rst")
+
+    def arrive(self, what: bytes | str) -> None:
+        """A segment has come."""
+        peer = self.peer
+        assert peer is not None
+        if what == "rst":
+            if not self.reset and not self.dead:
+                self.net.note("reset", self)
+                self.reset = self.dead = True
+                self.error = errno.EPIPE if self.rx_end else errno.ECONNRESET
+                self.tx.clear()
+                self.net.loop.poke(self)
+            return
+        if isinstance(what, bytes):
+            self.net.loop.after_us(self.net.delay(self.host, peer.host), peer.acknowledged, len(what))
+        if self.reset or self.dead:
+            return
+        if self.closed:
+            if what != "fin":
+                self.send_reset()  # there is nobody to read it
+            return
+        if what == "fin":
+            self.rx_end = True
+        elif isinstance(what, bytes):
+            self.rx.append(what)
+            self.rx_size += len(what)
+        self.net.loop.poke(self)
+
+    def acknowledged(self, size: int) -> None:
+        """The peer's kernel has these bytes. Over a cut link the word does not come, until it is healed."""
+        peer = self.peer
+        assert peer is not None
+        if not self.net.reaches(peer.host, self.host):
+            if not self.dead:
+                self.net.loop.after_us(RTO_US, self.acknowledged, size)
+            return
+        self.flying -= size
+        self.pump()
+        if not self.closed:
+            self.net.loop.poke(self)
+
+    def hurt(self) -> None:
+        """Reset both ends, as a middle box does."""
+        for sock in (self, self.peer):
+            if sock is not None and not (sock.reset or sock.dead):
+                sock.reset = sock.dead = True
+                sock.error = errno.ECONNRESET
+                sock.tx.clear()
+                sock.pipe.queue.clear()
+                if not sock.closed:
+                    self.net.loop.poke(sock)
+        self.net.note("hurt", self)
+
+    def _check_open(self) -> None:
+        if self.closed:
+            raise failure(errno.EBADF)
+
+
+@dataclass(slots=True)
+class Host:
+    """A machine: it may vanish, and then says nothing."""
+
+    name: str
+    up: bool = True
+    next_port: int = EPHEMERAL
+    bound: dict[tuple[str, int], VirtualSocket] = field(default_factory=dict)  # by kind and port
+
+
+class Network:
+    """All hosts, links and sockets of a world."""
+
+    def __init__(self, loop: VirtualLoop, seed: int) -> None:
+        self.loop = loop
+        self.rng = random.Random(f"net/{seed}")
+        self.hosts: dict[str, Host] = {}
+        self.links: dict[tuple[str, str], Link] = {}
+        self.default = Link()
+        self.trips: list[Trip] = []
+        self.observers: list[Callable[[str, VirtualSocket], None]] = []
+        self.on_send: Callable[[VirtualSocket, bytes, int], None] = lambda sock, piece, asked: None
+        self._number = 2
+
+    def next_number(self) -> int:
+        """A descriptor's number, never used twice."""
+        self._number += 1
+        return self._number
+
+    def note(self, what: str, sock: VirtualSocket) -> None:
+        """Tell the observers what happened to a socket."""
+        for observer in self.observers:
+            observer(what, sock)
+
+    def host(self, name: str) -> Host:
+        """A host by its address; made when first named."""
+        got = self.hosts.get(name)
+        if got is None:
+            got = self.hosts[name] = Host(name)
+        return got
+
+    def link(self, source: str, target: str) -> Link:
+        """The link one way; made like the default when first used."""
+        got = self.links.get((source, target))
+        if got is None:
+            d = self.default
+            got = self.links[source, target] = Link(
+                d.latency_us, d.jitter_us, d.bandwidth, d.loss, d.double, d.late, d.late_us
+            )
+        return got
+
+    def reaches(self, source: str, target: str) -> bool:
+        """Whether anything sent now arrives."""
+        return self.host(source).up and self.host(target).up and not self.link(source, target).cut
+
+    def delay(self, source: str, target: str) -> int:
+        """Latency of one way now, jitter included."""
+        link = self.link(source, target)
+        return link.latency_us + (self.rng.randrange(link.jitter_us + 1) if link.jitter_us else 0)
+
+    def flight(self, link: Link, size: int) -> int:
+        """When something put on a link now arrives."""
+        now = self.loop.now_us
+        if link.bandwidth:
+            now = link.free_us = max(now, link.free_us) + size * 1_000_000 // link.bandwidth
+        return now + link.latency_us + (self.rng.randrange(link.jitter_us + 1) if link.jitter_us else 0)
+
+    # -- addresses -----------------------------------------------------------------------
+
+    def bind(self, sock: VirtualSocket, address: Address) -> None:
+        """Give a socket an address; EADDRINUSE where one has it, EADDRNOTAVAIL where it is another host's."""
+        if address[0] != sock.host:
+            raise failure(errno.EADDRNOTAVAIL)
+        host, port = self.host(sock.host), address[1]
+        while not port:
+            port = host.next_port
+            host.next_port = EPHEMERAL + (host.next_port + 1 - EPHEMERAL) % (65_536 - EPHEMERAL)
+            if (sock.kind, port) in host.bound:
+                port = 0
+        if (sock.kind, port) in host.bound:
+            raise failure(errno.EADDRINUSE)
+        host.bound[sock.kind, port] = sock
+        sock.local = (sock.host, port)
+
+    def unbind(self, sock: VirtualSocket) -> None:
+        """Free a closed socket's address."""
+        bound = self.host(sock.host).bound
+        if bound.get((sock.kind, sock.local[1])) is sock:
+            del bound[sock.kind, sock.local[1]]
+
+    # -- connecting ----------------------------------------------------------------------
+
+    def send_syn(self, sock: VirtualSocket, repeat_us: int) -> None:
+        """Ask for a connection, and again while nothing answers."""
+        if sock.closed or sock.state != "dialing":
+            return
+        link = self.link(sock.host, sock.remote[0])
+        if self.reaches(sock.host, sock.remote[0]) and not (link.loss and self.rng.random() < link.loss):
+            self.loop.after_us(self.flight(link, 40) - self.loop.now_us, self._syn_arrives, sock)
+        self.loop.after_us(repeat_us, self.send_syn, sock, 2 * repeat_us)
+
+    def _syn_arrives(self, sock: VirtualSocket) -> None:
+        if (
+            sock.closed
+            or sock.state != "dialing"
+            or sock.peer is not None
+            or not self.reaches(sock.host, sock.remote[0])
+        ):
+            return
+        listener = self.host(sock.remote[0]).bound.get(("stream", sock.remote[1]))
+        if listener is None or listener.state != "listening":
+            self.loop.after_us(self.delay(sock.remote[0], sock.host), self._refused, sock)
+            return
+        if len(listener.waiting) > listener.backlog:
+            return  # dropped; the SYN comes again
+        other = VirtualSocket(self, None, listener.host, "stream")
+        other.state, other.local, other.remote, other.peer = "open", listener.local, sock.local, sock
+        other.receive_buffer, other.send_buffer = listener.receive_buffer, listener.send_buffer
+        sock.peer = other
+        listener.waiting.append(other)
+        self.loop.poke(listener)
+        self._answer_syn(sock, RTO_US)
+
+    def _answer_syn(self, sock: VirtualSocket, repeat_us: int) -> None:
+        if sock.state != "dialing" or sock.peer is None:
+            return
+        if self.reaches(sock.remote[0], sock.host):
+            self.loop.after_us(self.delay(sock.remote[0], sock.host), self._connected, sock)
+        else:
+            self.loop.after_us(repeat_us, self._answer_syn, sock, 2 * repeat_us)
+
+    def _refused(self, sock: VirtualSocket) -> None:
+        if sock.state != "dialing" or not self.reaches(sock.remote[0], sock.host):
+            return
+        sock.state = "new"
+        if sock.connected is not None and not sock.connected.done():
+            sock.connected.set_exception(failure(errno.ECONNREFUSED))
+
+    def _connected(self, sock: VirtualSocket) -> None:
+        if sock.state != "dialing" or sock.peer is None:
+            return
+        sock.state = "open"
+        if sock.closed:
+            sock.send_reset()  # nobody waits for it any more
+            return
+        if sock.peer.closed or sock.peer.reset:  # reset before it was up
+            sock.state = "new"
+            if sock.connected is not None and not sock.connected.done():
+                sock.connected.set_exception(failure(errno.ECONNRESET))
+            return
+        self._arm(sock)
+        self._arm(sock.peer)
+        self.note("open", sock)
+        if sock.connected is not None and not sock.connected.done():
+            sock.connected.set_result(None)
+        self.loop.poke(sock)
+
+    def _arm(self, sock: VirtualSocket) -> None:
+        for trip in self.trips:
+            if trip.connections > 0 and (trip.source, trip.target) == (sock.host, sock.remote[0]):
+                trip.connections -= 1
+                sock.trip = trip
+                return
+
+    # -- datagrams -----------------------------------------------------------------------
+
+    def send_datagram(self, sock: VirtualSocket, data: bytes, address: Address) -> None:
+        """Send a datagram over a link that may lose, double or delay it."""
+        link, rng = self.link(sock.host, address[0]), self.rng
+        copies = 1 + (link.double > 0.0 and rng.random() < link.double)
+        for _ in range(copies):
+            due = link.datagram_us = max(self.flight(link, len(data)), link.datagram_us + 1)
+            if link.loss and rng.random() < link.loss:
+                continue
+            if link.late and rng.random() < link.late:
+                due += rng.randrange(link.late_us + 1)
+            self.loop.after_us(due - self.loop.now_us, self._datagram, data, sock.local, address)
+
+    def _datagram(self, data: bytes, sender: Address, address: Address) -> None:
+        target = self.host(address[0]).bound.get(("datagram", address[1]))
+        if target is None or not self.reaches(sender[0], address[0]) or target.datagram_size + len(data) > DATAGRAMS:
+            return
+        target.datagrams.append((data, sender))
+        target.datagram_size += len(data)
+        self.loop.poke(target)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -7,7 +7,7 @@
 import pytest
 from loopback import CacheBox, good, path_of, play, rig, status, until, whole
 
-from corkshift.clock import now_ms
+from corkshift.seam import now_ms
 from corkshift.upstream import REST_MS
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -28,7 +28,9 @@
 def stream(seed: int, calm: float) -> str:
     """A digest of all actions in a world drawn from a seed, in which this part of the attempts goes well."""
     rng = random.Random(seed)
-    balancer = Balancer(Settings(classes=CLASSES, zone="z1", asked=True, may_cancel=True, backoff_max_ms=1200.0, tick_ms=5.0), seed)
+    balancer = Balancer(
+        Settings(classes=CLASSES, zone="z1", asked=True, may_cancel=True, backoff_max_ms=1200.0, tick_ms=5.0), seed
+    )
     digest, order = blake2b(digest_size=8), count()
     due: list[tuple[float, int, str, tuple[object, ...]]] = []
     servers = {f"s{n}": Server(f"s{n}", f"z{n % 4}", f"k{n % 2}", n % 3, "in", 0.5 + n % 3) for n in range(14)}
@@ -63,7 +65,13 @@
             key = None if rng.random() < 0.02 else f"k{int(rng.paretovariate(0.6)) % 900}"
             open_requests[number] = 0
             budget = spec.deadline_ms * rng.uniform(0.3, 1.0)
-            carry(list(balancer.on_request(now, number, spec.name, key, budget, 90.0, "", spec.name != "read", rng.random() < 0.05)))
+            carry(
+                list(
+                    balancer.on_request(
+                        now, number, spec.name, key, budget, 90.0, "", spec.name != "read", rng.random() < 0.05
+                    )
+                )
+            )
         elif kind == "outcome":
             request, attempt, status, server, took = args
             assert isinstance(request, int) and isinstance(attempt, int) and isinstance(took, float)
@@ -83,7 +91,9 @@
         else:
             name = f"s{rng.randrange(16)}"
             state = rng.choice(("in", "in", "draining", "gone"))
-            entry = Server(name, f"z{rng.randrange(4)}", "k0", rng.randrange(3), state, 1.0, now if rng.random() < 0.5 else 0.0)
+            entry = Server(
+                name, f"z{rng.randrange(4)}", "k0", rng.randrange(3), state, 1.0, now if rng.random() < 0.5 else 0.0
+            )
             carry(list(balancer.on_list(now, rng.choice(("changes", "changes", "failed")), [entry])))
     return digest.hexdigest()
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -10,7 +10,7 @@
 import pytest
 from loopback import OPTIONS, CacheBox, Rig, good, play, rig, status, until
 
-from corkshift.clock import now_ms
+from corkshift.seam import now_ms
 from forkweir.adapter import settings_of
 from forkweir.choice import HEDGE_LEAST, HEDGE_MOST, Balancer
 from forkweir.fleet import SILENT_ROW, Member
--- /dev/null
+++ b/tests/testbed/test_parity.py
@@ -0,0 +1,486 @@
+"""The same scripted socket behaviours on the virtual network and on the kernel's: what the node's stream layer sees is the same.
+
+Each scenario returns what it saw (bytes, ends, errors by name), and no times. A simulator that differs from the kernel
+in one of them lies to every test that stands on it. Loss, reordering and cut links can't be had from loopback: there the
+scenario does by hand what the network would (sends twice, in another order, late, or not at all).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+import struct
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import pytest
+import uvloop
+
+from corkshift import seam
+from corkshift.seam import Socket
+from corkshift.stream import KERNEL_BUFFER, Stream
+from testbed.loop import VirtualLoop
+from testbed.net import Network
+from testbed.process import Process
+
+HOST = "127.0.0.1"
+Seen = list[object]
+Scenario = Callable[[], Coroutine[Any, Any, Seen]]
+SCENARIOS: dict[str, Scenario] = {}
+
+
+def scenario(function: Scenario) -> Scenario:
+    SCENARIOS[function.__name__] = function
+    return function
+
+
+def on_kernel(play: Scenario) -> Seen:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(asyncio.wait_for(play(), 20.0))
+
+
+def on_virtual(play: Scenario, seed: int = 1) -> Seen:
+    loop = VirtualLoop(seed)
+    net = Network(loop, seed)
+    process = Process("p", net, HOST)
+    seen: list[Seen] = []
+
+    async def program() -> None:
+        seen.append(await play())
+
+    async def main() -> None:
+        process.start(program)
+        assert process.task is not None
+        await process.task
+
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        runner.run(main())
+    return seen[0]
+
+
+async def named(what: Awaitable[object]) -> object:
+    """A result, or the name of its error."""
+    try:
+        return await what
+    except TimeoutError:
+        return "timeout"
+    except OSError as error:
+        return errno.errorcode.get(error.errno or 0, type(error).__name__)
+
+
+def called(what: Callable[[], object]) -> object:
+    try:
+        return what()
+    except BlockingIOError:
+        return "EAGAIN"
+    except OSError as error:
+        return errno.errorcode.get(error.errno or 0, type(error).__name__)
+
+
+async def until(true: Callable[[], bool]) -> None:
+    while not true():
+        await asyncio.sleep(0.002)
+
+
+async def readable(sock: Socket) -> None:
+    loop = asyncio.get_running_loop()
+    came = loop.create_future()
+    loop.add_reader(sock, lambda: None if came.done() else came.set_result(None))
+    try:
+        await came
+    finally:
+        loop.remove_reader(sock)
+
+
+async def accept(listener: Socket) -> Socket:
+    await readable(listener)
+    sock: Socket = listener.accept()[0]
+    sock.setblocking(False)
+    return sock
+
+
+async def raw_pair() -> tuple[Socket, Socket]:
+    """A connection: the dialing end and the accepted one."""
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    listener.listen(8)
+    dialing = seam.stream()
+    seam.bound_buffers(dialing, KERNEL_BUFFER)
+    await seam.connect(dialing, listener.getsockname())
+    accepted = await accept(listener)
+    listener.close()
+    return dialing, accepted
+
+
+async def pair() -> tuple[Stream, Stream]:
+    a, b = await raw_pair()
+    return Stream(a), Stream(b)
+
+
+async def all_of(stream: Stream) -> tuple[int, object]:
+    """How many bytes come, and how it ends."""
+    size = 0
+    while True:
+        data = await named(stream.read())
+        if not isinstance(data, bytes) or not data:
+            return size, data
+        size += len(data)
+
+
+@scenario
+async def bytes_pass_both_ways() -> Seen:
+    a, b = await pair()
+    seen: Seen = [await a.write(b"there"), await b.read(), await b.write(b"back"), await a.read()]
+    return seen
+
+
+@scenario
+async def nothing_to_read_is_eagain() -> Seen:
+    a, b = await raw_pair()
+    return [called(lambda: a.recv_into(bytearray(10))), called(lambda: b.recv_into(bytearray(10)))]
+
+
+@scenario
+async def a_full_buffer_takes_part_of_a_write_and_then_nothing() -> Seen:
+    a, b = await raw_pair()
+    chunk, taken, last = bytes(1_000_000), 0, 0
+    while True:
+        got = called(lambda: a.send(chunk))
+        if got == "EAGAIN":
+            break
+        assert isinstance(got, int)
+        last, taken = got, taken + got
+        await asyncio.sleep(0.02)
+    seen: Seen = [0 < last < len(chunk)]
+    size = 0
+    while size < taken:
+        got = called(lambda: b.recv_into(bytearray(65_536)))
+        if isinstance(got, int):
+            size += got
+        else:
+            await asyncio.sleep(0.005)
+    return [*seen, size == taken, called(lambda: b.recv_into(bytearray(10)))]
+
+
+@scenario
+async def a_write_waits_for_a_slow_reader() -> Seen:
+    a, b = await pair()
+    job = asyncio.create_task(a.write(bytes(2_000_000)))
+    await asyncio.sleep(0.1)
+    seen: Seen = [job.done()]
+    size = 0
+    while size < 2_000_000:
+        size += len(await b.read())
+    return [*seen, size, await job]
+
+
+@scenario
+async def a_reader_that_pauses_holds_the_rest_back() -> Seen:
+    a, b = await pair()
+    job = asyncio.create_task(a.write(bytes(1_000_000)))
+    await asyncio.sleep(0.2)
+    held = b._held
+    job.cancel()
+    return [65_536 <= held < 3 * 65_536]
+
+
+@scenario
+async def half_close_ends_one_direction() -> Seen:
+    a, b = await raw_pair()
+    a.send(b"last words")
+    a.shutdown(socket.SHUT_WR)
+    other, mine = Stream(b), Stream(a)
+    seen: Seen = [await other.read(), await other.read(), other.ended]
+    seen += [await other.write(b"still here"), await mine.read(), called(lambda: a.send(b"x"))]
+    return seen
+
+
+@scenario
+async def a_close_is_an_end() -> Seen:
+    a, b = await pair()
+    await a.write(b"bye")
+    a.close()
+    return [await all_of(b)]
+
+
+@scenario
+async def a_close_with_unread_input_is_a_reset() -> Seen:
+    a, b = await raw_pair()
+    b.send(b"never read")
+    await readable(a)
+    other = Stream(b)
+    a.close()
+    return [await all_of(other)]
+
+
+@scenario
+async def no_linger_is_a_reset() -> Seen:
+    a, b = await pair()
+    a.abort()
+    return [await all_of(b), called(lambda: b.push(b"x"))]
+
+
+@scenario
+async def input_before_a_reset_can_still_be_read() -> Seen:
+    a, b = await raw_pair()
+    a.send(b"before")
+    await readable(b)
+    a.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    a.close()
+    await asyncio.sleep(0.05)
+    buffer = bytearray(100)
+    return [called(lambda: b.recv_into(buffer)) for _ in range(3)]
+
+
+@scenario
+async def input_on_the_way_to_a_stream_before_a_reset() -> Seen:
+    a, b = await raw_pair()
+    other = Stream(b)
+    a.send(b"before")
+    await until(lambda: other.has_input)
+    a.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    a.close()
+    await until(lambda: other.ended)
+    return [await named(other.read()), await named(other.read())]
+
+
+@scenario
+async def a_write_to_one_that_has_closed_is_reset() -> Seen:
+    a, b = await raw_pair()
+    b.close()
+    await readable(a)  # its end has come
+    seen: Seen = [called(lambda: a.recv_into(bytearray(10))), called(lambda: a.send(b"first"))]
+    await asyncio.sleep(0.05)
+    return [
+        *seen,
+        called(lambda: a.send(b"second")),
+        called(lambda: a.send(b"third")),
+        called(lambda: a.recv_into(bytearray(10))),
+    ]
+
+
+@scenario
+async def a_stream_that_writes_to_one_that_has_closed() -> Seen:
+    a, b = await pair()
+    b.close()
+    await until(lambda: a.ended)
+    seen: Seen = [a.error is None, await named(a.read()), called(lambda: a.push(b"first"))]
+    await asyncio.sleep(0.05)
+    return [*seen, called(lambda: a.push(b"second")), a.closed, type(a.error).__name__]
+
+
+@scenario
+async def a_dial_that_is_refused() -> Seen:
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    address = listener.getsockname()
+    listener.close()
+    return [await named(seam.connect(seam.stream(), address))]
+
+
+@scenario
+async def a_bound_socket_that_does_not_listen_refuses() -> Seen:
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    return [await named(seam.connect(seam.stream(), listener.getsockname()))]
+
+
+@scenario
+async def a_backlog_holds_connections_until_they_are_accepted() -> Seen:
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    listener.listen(8)
+    dials = [seam.stream() for _ in range(4)]
+    for n, dial in enumerate(dials):
+        await seam.connect(dial, listener.getsockname())
+        dial.send(b"early %d" % n)
+    seen: Seen = []
+    for _ in dials:
+        seen.append(await Stream(await accept(listener)).read())
+    return [*seen, called(lambda: listener.accept())]
+
+
+@scenario
+async def a_full_backlog_leaves_a_dial_without_answer() -> Seen:
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    listener.listen(1)
+    seen: Seen = []
+    kept = []
+    for _ in range(4):
+        kept.append(seam.stream())
+        seen.append(await named(asyncio.wait_for(seam.connect(kept[-1], listener.getsockname()), 0.3)))
+    return seen
+
+
+@scenario
+async def a_connection_reset_before_it_is_accepted() -> Seen:
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    listener.listen(8)
+    dial = seam.stream()
+    await seam.connect(dial, listener.getsockname())
+    dial.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    dial.close()
+    await asyncio.sleep(0.05)
+    return [await all_of(Stream(await accept(listener)))]
+
+
+@scenario
+async def a_listener_that_closes_resets_what_waits() -> Seen:
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    listener.listen(8)
+    dial = seam.stream()
+    await seam.connect(dial, listener.getsockname())
+    listener.close()
+    return [await all_of(Stream(dial))]
+
+
+@scenario
+async def an_address_that_is_taken() -> Seen:
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    listener.listen(8)
+    return [called(lambda: seam.listen(listener.getsockname(), KERNEL_BUFFER).listen(8))]
+
+
+@scenario
+async def a_silent_peer_is_a_timeout_and_nothing_else() -> Seen:
+    a, b = await pair()
+    seen: Seen = [await named(asyncio.wait_for(a.read(), 0.05)), a.ended, a.quiet]
+    a.expire()
+    return [*seen, await named(a.read()), await b.write(b"late"), await a.read()]
+
+
+@scenario
+async def a_finish_waits_for_the_peers_end() -> Seen:
+    a, b = await pair()
+    await a.write(b"answer")
+    job = asyncio.create_task(a.finish())
+    seen: Seen = [await b.read(), await b.read(), job.done()]
+    b.close()
+    await job
+    return [*seen, a.closed]
+
+
+@scenario
+async def a_closed_socket_can_do_nothing() -> Seen:
+    a, _ = await raw_pair()
+    a.close()
+    return [
+        called(lambda: a.send(b"x")),
+        called(lambda: a.recv_into(bytearray(1))),
+        called(lambda: a.shutdown(socket.SHUT_WR)),
+        a.fileno(),
+    ]
+
+
+@scenario
+async def a_socket_that_was_never_connected() -> Seen:
+    sock = seam.stream()
+    return [called(lambda: sock.shutdown(socket.SHUT_WR)), called(lambda: sock.send(b"x"))]
+
+
+@scenario
+async def a_shutdown_after_a_reset() -> Seen:
+    a, b = await pair()
+    a.abort()
+    await until(lambda: b.ended)
+    return [called(lambda: b._sock.shutdown(socket.SHUT_WR)), type(b.error).__name__]
+
+
+@scenario
+async def a_reset_in_the_middle_of_a_write() -> Seen:
+    a, b = await pair()
+    job = asyncio.create_task(a.write(bytes(2_000_000)))
+    await b.read()
+    b.abort()
+    return [await named(job), a.error is not None]
+
+
+@scenario
+async def until_input_stops_a_write_when_the_peer_speaks() -> Seen:
+    a, b = await pair()
+    job = asyncio.create_task(a.write(bytes(2_000_000), until_input=True))
+    await b.read()
+    await b.write(b"enough")
+    await until(lambda: a.has_input)
+    while not job.done():
+        await b.read()
+    return [await job, await a.read()]
+
+
+@scenario
+async def a_dial_given_up_leaves_nothing() -> Seen:
+    listener = seam.listen((HOST, 0), KERNEL_BUFFER)
+    listener.listen(8)
+    dial = seam.stream()
+    job = asyncio.create_task(seam.connect(dial, listener.getsockname()))
+    await asyncio.sleep(0)
+    await job
+    dial.close()
+    return [await all_of(Stream(await accept(listener)))]
+
+
+async def datagrams(count: int) -> list[Socket]:
+    made = [seam.datagram() for _ in range(count)]
+    for sock in made:
+        sock.bind((HOST, 0))
+    return made
+
+
+@scenario
+async def datagrams_keep_their_bounds_and_their_sender() -> Seen:
+    a, b = await datagrams(2)
+    a.sendto(b"one", b.getsockname())
+    a.sendto(b"", b.getsockname())
+    a.sendto(b"a longer one", b.getsockname())
+    seen: Seen = []
+    for size in (100, 100, 8):
+        await readable(b)
+        data, sender = b.recvfrom(size)
+        seen += [data, sender == a.getsockname()]
+    return [*seen, called(lambda: b.recvfrom(10))]
+
+
+@scenario
+async def datagrams_doubled_and_overtaken_come_as_they_were_sent() -> Seen:
+    a, b = await datagrams(2)
+    for data in (b"2", b"1", b"1", b"3"):
+        a.sendto(data, b.getsockname())
+    await asyncio.sleep(0.02)
+    seen: Seen = []
+    seen += sorted(b.recvfrom(10)[0] for _ in range(4))
+    return seen
+
+
+@scenario
+async def a_datagram_to_nobody_is_lost_without_a_word() -> Seen:
+    a, b = await datagrams(2)
+    address = b.getsockname()
+    b.close()
+    seen: Seen = [called(lambda: a.sendto(b"x", address))]
+    await asyncio.sleep(0.02)
+    return [*seen, called(lambda: a.recvfrom(10))]
+
+
+@scenario
+async def a_datagram_that_is_too_long() -> Seen:
+    a, b = await datagrams(2)
+    return [
+        called(lambda: a.sendto(bytes(70_000), b.getsockname())),
+        called(lambda: a.sendto(bytes(60_000), b.getsockname())),
+    ]
+
+
+@scenario
+async def a_full_datagram_buffer_drops_what_comes_later() -> Seen:
+    a, b = await datagrams(2)
+    for _ in range(400):
+        a.sendto(bytes(8_000), b.getsockname())
+    await asyncio.sleep(0.05)
+    count = 0
+    while called(lambda: b.recvfrom(10)) != "EAGAIN":
+        count += 1
+    return [0 < count < 400]
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_the_kernel_and_the_virtual_network_show_the_same(name: str) -> None:
+    wanted = on_kernel(SCENARIOS[name])
+    for seed in (1, 2, 3):
+        assert on_virtual(SCENARIOS[name], seed) == wanted
