--- a/corkshift/cli/__init__.py
+++ b/corkshift/cli/__init__.py
@@ -17,6 +17,9 @@
     commands.add_parser("run", help="serve as PROXY_CONFIG tells (the same as no command)")
     check = commands.add_parser("check", help="validate a node's configuration or an operator's file")
     check.add_argument("file", metavar="FILE")
+    from testbed.cli import add_sim
+
+    add_sim(commands)
     return parser
 
 
@@ -28,6 +31,10 @@
         from corkshift.cli.check import check
 
         return check(args.file)
+    if args.command == "sim":
+        from testbed.cli import sim
+
+        return sim(args)
     from corkshift.__main__ import serve
 
     return serve(args.operator)
--- a/corkshift/cli/check.py
+++ b/corkshift/cli/check.py
@@ -20,6 +20,14 @@
         return [Fault("", f"cannot read it: {error.strerror}")]
     if path.endswith(".json") or text.lstrip()[:1] == b"{":
         return _node(text)
+    if any(line.strip() in (b"[world]", b"[[fault]]") for line in text.splitlines()):
+        from testbed.script import BadScript, parse_script
+
+        try:
+            parse_script(text)
+        except BadScript as error:
+            return error.faults
+        return []
     try:
         parse(text, path)
     except BadOperatorFile as error:
--- /dev/null
+++ b/testbed/clients.py
@@ -0,0 +1,342 @@
+"""Clients as the brief describes them: open arrivals, kept connections, retries by class, and some that are rude.
+
+A client asks with a new id each time, keeps its connections, and opens more when all are busy. It repeats a `safe`
+request after any failure, a `keyed` one likewise within its window, and others only after a refusal or when the node
+could not be reached. Runs on both sides of the seam.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, Optional
+
+import h11
+
+from corkshift.seam import Address, now_ms
+from testbed.serving import Connection, Ended, Message, dial
+
+SLACK_MS = 120.0  # past its deadline an answer is awaited for this long before it is missing
+RUDE_S = 3.2  # a bad client is owed an error or a close within 3 s
+
+
+@dataclass(frozen=True, slots=True)
+class Class:
+    """One request class, in the settings' terms."""
+
+    name: str
+    aim_ms: float
+    deadline_ms: float
+    repeat: str
+    window_ms: float
+    share: float
+    method: str
+
+
+CLASSES = (
+    Class("menu-read", 750.0, 2500.0, "safe", 0.0, 0.86, "GET"),
+    Class("cart-update", 800.0, 2000.0, "keyed", 4000.0, 0.05, "PUT"),
+    Class("order-place", 1200.0, 2500.0, "keyed", 2500.0, 0.04, "PUT"),
+    Class("stall-note", 900.0, 2000.0, "unsafe", 0.0, 0.05, "PUT"),
+)
+
+
+def settings() -> dict[str, object]:
+    """The settings object that a node gets for these classes."""
+    return {
+        "services": [
+            {
+                "name": c.name,
+                "promiseMs": c.aim_ms,
+                "deadlineMs": c.deadline_ms,
+                "idempotency": c.repeat,
+                "group": "all" if c.repeat == "keyed" else "",
+                "windowMs": c.window_ms,
+                "worth": 3.0,
+            }
+            for c in CLASSES
+        ],
+        "discovery": "subscribe",
+        "granularityMs": 1.0,
+        "weights": "rough",
+        "contract": {"mustAskInMs": 2_000.0, "stopSendingWithinMs": 250.0, "coldFrom": 0.12, "coldMs": 24_000.0},
+        "allowed": {
+            "mostTries": 3,
+            "retryAfter": True,
+            "maxRetryAfterMs": 600.0,
+            "mayCancel": True,
+            "dialTimeoutMs": 250.0,
+            "connIdleMs": 10_000.0,
+            "maxOpen": 2_000,
+        },
+    }
+
+
+@dataclass(eq=False, slots=True)
+class Ask:
+    """One request as a client sees it."""
+
+    txn: str
+    kind: Class
+    key: str
+    token: str
+    node: str
+    body: bytes
+    sent_ms: float = 0.0
+    first: bool = False  # on its connection
+
+
+class Observer:
+    """What clients report; the rules are one."""
+
+    def asked(self, ask: Ask) -> None:
+        """A request's last byte is written."""
+
+    def answered(self, ask: Ask, answer: Message) -> None:
+        """A whole answer has come."""
+
+    def left(self, ask: Ask) -> None:
+        """The client has gone away before its answer."""
+
+    def ended(self, ask: Ask, how: str) -> bool:
+        """The connection ended, or the time did, with no answer. Whether it may be sent once more on a new connection."""
+        return False
+
+    def unasked(self, node: str) -> None:
+        """Something came on a connection on which nothing was asked."""
+
+    def rude(self, name: str, status: int, waited_ms: float) -> None:
+        """How a bad client was met: its answer's status, 0 for a close, -1 for neither."""
+
+
+@dataclass(slots=True)
+class Figures:
+    """What the clients saw, by kind of end."""
+
+    asked: int = 0
+    served: int = 0
+    in_time: int = 0
+    refused: int = 0
+    failed: int = 0
+    unanswered: int = 0
+    left: int = 0
+    first_tries: int = 0
+    good_tries: int = 0  # first tries that they or a retry served in time
+    by_status: Counter[int] = field(default_factory=Counter)
+
+
+class Clients:
+    """All clients of one installation, behind a front that deals connections out to its nodes."""
+
+    def __init__(
+        self,
+        nodes: dict[str, Address],
+        observer: Observer,
+        seed: int | str,
+        keys: int,
+        rate: float,
+        write_share: Optional[float] = None,
+    ) -> None:
+        self.nodes = nodes
+        self.figures = Figures()
+        self.rate = rate
+        self.left_share = 0.01
+        self.down: Callable[[str], bool] = lambda node: False  # whether the front has noticed that a node is dead
+        self._observer = observer
+        self._random = random.Random(f"clients/{seed}")
+        self._keys = [f"k{n}" for n in range(keys)]
+        self._weights = [1.0 / (n + 1) ** 0.9 for n in range(keys)]
+        self._cumulative: list[float] = []
+        total = 0.0
+        for weight in self._weights:
+            total += weight
+            self._cumulative.append(total)
+        writes = sum(c.share for c in CLASSES if c.method == "PUT")
+        share = writes if write_share is None else write_share
+        self._shares = [c.share * share / writes if c.method == "PUT" else 1.0 - share for c in CLASSES]
+        self._idle: dict[str, list[Connection]] = {}
+        self._number = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def keys(self) -> list[str]:
+        """All keys, the most popular first."""
+        return self._keys
+
+    async def run(self, seconds: float) -> None:
+        """Ask for so long, and wait for what is out."""
+        end = now_ms() + seconds * 1000.0
+        while True:
+            await asyncio.sleep(self._random.expovariate(self.rate))
+            if now_ms() >= end:
+                break
+            self._spawn(self._first_try())
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.stream.close()
+        self._idle.clear()
+
+    def _spawn(self, what: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(what)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _draw(self) -> tuple[Class, str]:
+        kind = self._random.choices(CLASSES, self._shares)[0]
+        key = self._random.choices(self._keys, cum_weights=self._cumulative)[0]
+        return kind, key
+
+    async def _first_try(self) -> None:
+        kind, key = self._draw()
+        rng = self._random
+        self._number += 1
+        token = f"t{self._number}" if kind.repeat == "keyed" else ""
+        body = rng.randbytes(rng.choice((0, 40, 400, 5_000))) if kind.method == "PUT" else b""
+        self.figures.first_tries += 1
+        begun = now_ms()
+        for attempt in range(3):
+            budget = kind.deadline_ms - (now_ms() - begun)
+            if budget < 50.0 or (attempt and kind.repeat == "keyed" and now_ms() - begun > kind.window_ms):
+                return
+            status, wait_ms = await self._ask(kind, key, token, body, budget, attempt > 0)
+            if status == 200:
+                self.figures.good_tries += now_ms() - begun <= kind.aim_ms
+                return
+            again = status in (429, 503) or (status != -2 and kind.repeat != "unsafe") or status == -3
+            if not again or rng.random() < 0.3:
+                return
+            await asyncio.sleep((wait_ms or rng.uniform(30.0, 240.0)) / 1000.0)
+
+    async def _connect(self, node: str) -> Connection:
+        """An idle connection, or a new one."""
+        idle = self._idle.setdefault(node, [])
+        while idle:
+            connection = idle.pop()
+            if connection.clean:
+                return connection
+            if connection.stream.has_input:
+                self._observer.unasked(node)
+            connection.stream.close()
+        return await dial(self.nodes[node], 1.0)
+
+    async def _ask(
+        self, kind: Class, key: str, token: str, body: bytes, budget_ms: float, again: bool
+    ) -> tuple[int, float]:
+        """One request. Its status (0: the connection ended, -1: no answer in time, -2: left, -3: not reached), and how long to wait."""
+        rng = self._random
+        live = [name for name in self.nodes if not self.down(name)] or list(self.nodes)
+        node = rng.choice(live)
+        leaves = rng.random() < self.left_share
+        self._number += 1
+        ask = Ask(f"x{self._number}", kind, key, token, node, body)
+        for tries in range(2):
+            try:
+                connection = await self._connect(node) if not tries else await dial(self.nodes[node], 1.0)
+            except OSError:
+                return -3, 0.0
+            status, wait_ms = await self._exchange(connection, ask, budget_ms, again, leaves)
+            if status != -4:
+                return status, wait_ms
+        return 0, 0.0
+
+    async def _exchange(
+        self, connection: Connection, ask: Ask, budget_ms: float, again: bool, leaves: bool
+    ) -> tuple[int, float]:
+        headers = {"X-Txn": ask.txn, "X-Lane": ask.kind.name, "X-Org": "stalls", "X-Remaining-Ms": str(int(budget_ms))}
+        if again:
+            headers["X-Resent"] = "1"
+        if ask.token:
+            headers["Idempotency-Key"] = ask.token
+        ask.first = connection.exchanges == 0
+        figures, observer = self.figures, self._observer
+        figures.asked += 1
+        try:
+            async with asyncio.timeout(budget_ms / 1000.0):
+                await connection.ask(ask.kind.method, f"/api/{ask.key}", headers, ask.body)
+        except OSError:
+            connection.stream.abort()
+            figures.failed += 1
+            return -3, 0.0
+        ask.sent_ms = now_ms()
+        observer.asked(ask)
+        try:
+            async with asyncio.timeout(self._random.uniform(0.0, 0.06) if leaves else (budget_ms + SLACK_MS) / 1000.0):
+                answer = await connection.read()
+        except TimeoutError:
+            connection.stream.close()
+            if leaves:
+                figures.left += 1
+                observer.left(ask)
+                return -2, 0.0
+            figures.unanswered += 1
+            observer.ended(ask, "no answer")
+            return -1, 0.0
+        except (OSError, Ended, h11.RemoteProtocolError) as error:
+            connection.stream.abort()
+            if observer.ended(ask, type(error).__name__):
+                return -4, 0.0
+            figures.failed += 1
+            return 0, 0.0
+        observer.answered(ask, answer)
+        figures.by_status[answer.status] += 1
+        if answer.status == 200:
+            figures.served += 1
+            figures.in_time += now_ms() - ask.sent_ms <= ask.kind.aim_ms
+        elif answer.status in (429, 503):
+            figures.refused += 1
+        else:
+            figures.failed += 1
+        if connection.spent or answer.header(b"connection").lower() == "close":
+            connection.stream.close()
+        else:
+            connection.renew()
+            self._idle.setdefault(ask.node, []).append(connection)
+        wait = answer.header(b"retry-after")
+        return answer.status, float(wait) * 1000.0 if wait else 0.0
+
+    # -- bad clients ---------------------------------------------------------------------
+
+    def be_rude(self, node: str, name: str, data: bytes) -> None:
+        """Send something bad on a new connection; an error or a close is owed."""
+        self._spawn(self._rude(node, name, data))
+
+    async def _rude(self, node: str, name: str, data: bytes) -> None:
+        begun = now_ms()
+        try:
+            connection = await dial(self.nodes[node], 1.0)
+        except OSError:
+            return
+        status = -1
+        try:
+            async with asyncio.timeout(RUDE_S):
+                if data:
+                    await connection.stream.write(data)
+                got = await connection.stream.read()
+                status = int(got[9:12]) if got.startswith(b"HTTP/1.1 ") else 0
+        except TimeoutError:
+            pass
+        except OSError:
+            status = 0
+        connection.stream.abort()
+        self._observer.rude(name, status, now_ms() - begun)
+
+
+_GOOD = b"GET /api/k1 HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Lane: menu-read\r\nX-Remaining-Ms: 2000\r\n"
+RUDE = {
+    "noise": bytes(range(128, 256)) * 2 + b"\r\n\r\n",
+    "silence": b"",
+    "half a head": b"GET /api/k1 HTTP/1.1\r\nX-Txn: half\r\n",
+    "both lengths": b"PUT /api/k1 HTTP/1.1\r\nHost: x\r\nX-Txn: both\r\nX-Lane: order-place\r\n"
+    b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + _GOOD % b"hidden" + b"\r\n",
+    "no id": b"GET /api/k1 HTTP/1.1\r\nHost: x\r\nX-Lane: menu-read\r\n\r\n",
+    "unknown class": b"GET /api/k1 HTTP/1.1\r\nHost: x\r\nX-Txn: lane\r\nX-Lane: gold\r\n\r\n",
+    "huge": b"PUT /api/k1 HTTP/1.1\r\nHost: x\r\nX-Txn: huge\r\nX-Lane: order-place\r\nContent-Length: 60000000\r\n\r\n",
+    "half a body": b"PUT /api/k1 HTTP/1.1\r\nHost: x\r\nX-Txn: body\r\nX-Lane: order-place\r\nContent-Length: 50\r\n\r\nhalf",
+}
--- /dev/null
+++ b/testbed/defects.py
@@ -0,0 +1,232 @@
+"""Deliberate defects of the node, patched in one at a time, to see whether the rules find them (the checker is checked)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from corkshift import upstream
+from corkshift.budget import BodyBudget
+from corkshift.discovery import Discovery
+from corkshift.frontend import ClientConnection, Frontend
+from corkshift.messages import Answer, Call
+from corkshift.node import Node
+from corkshift.stream import Stream
+from corkshift.upstream import Attempt, NotSent, Outcome, Pool
+from forkweir.choice import Balancer
+from forkweir.fleet import Fleet
+
+Patch = tuple[Any, str, Any]
+DEFECTS: dict[str, tuple[str, Callable[[], list[Patch]]]] = {}
+
+
+def defect(what: str) -> Callable[[Callable[[], list[Patch]]], Callable[[], list[Patch]]]:
+    """Register a defect under its function's name."""
+
+    def take(function: Callable[[], list[Patch]]) -> Callable[[], list[Patch]]:
+        DEFECTS[function.__name__.replace("_", "-")] = (what, function)
+        return function
+
+    return take
+
+
+@contextmanager
+def patched(name: str) -> Iterator[None]:
+    """Put a defect into the node for a while; KeyError where there is none of this name."""
+    patches = DEFECTS[name][1]() if name else []
+    before = [(owner, key, getattr(owner, key)) for owner, key, _ in patches]
+    for owner, key, value in patches:
+        setattr(owner, key, value)
+    try:
+        yield
+    finally:
+        for owner, key, value in before:
+            setattr(owner, key, value)
+
+
+@defect("a request that may have run is repeated, whatever its class")
+def repeats_unsafe_work() -> list[Patch]:
+    return [(Balancer, "_may_repeat", lambda self, request, target, now: True)]
+
+
+@defect("a request that may have run is refused as if it had not")
+def refuses_what_may_have_run() -> list[Patch]:
+    def end(self: Any, request: Any, now: float) -> Any:
+        del self.held[request.id]
+        return ("refuse", request.id, self.settings.backoff_max_ms)
+
+    return [(Balancer, "_end", end)]
+
+
+@defect("a drain or an end in the list is not heeded")
+def ignores_a_drain() -> list[Patch]:
+    take = Fleet.take
+
+    def deaf(self: Any, now: float, entries: Any, full: bool) -> None:
+        take(self, now, [entry for entry in entries if entry.state == "in"], False)
+
+    return [
+        (Fleet, "take", deaf),
+        (Discovery, "_leave", lambda self, name, gone: None),
+        (Node, "_welcome", lambda self, server: True),
+    ]
+
+
+@defect("the grace after a drain is not looked at before the last byte")
+def sends_after_the_grace() -> list[Patch]:
+    return [(Fleet, "usable", lambda self, member, now: True), (Node, "_welcome", lambda self, server: True)]
+
+
+@defect("a dial that fails leaves its socket open")
+def leaks_a_socket_on_a_failed_dial() -> list[Patch]:
+    from corkshift import seam
+
+    async def dial(self: Any, server: Any) -> Stream:
+        if self._open >= self._limit:
+            raise NotSent("full")
+        self._open += 1
+        sock = seam.stream()
+        try:
+            seam.bound_buffers(sock, 65_536)
+            async with asyncio.timeout(self._dial_s):
+                await seam.connect(sock, server.address)
+            return Stream(sock)
+        except BaseException:
+            self._open -= 1
+            raise
+
+    return [(Pool, "_dial", dial)]
+
+
+@defect("a connection that is dropped is counted twice")
+def counts_a_connection_twice() -> list[Patch]:
+    def drop(self: Any, stream: Stream) -> None:
+        self._open -= 1
+        stream.abort()
+
+    return [(Pool, "drop", drop)]
+
+
+@defect("an attempt goes on after its request is over")
+def sends_after_a_cancel() -> list[Patch]:
+    def depart(self: Any, call: Call) -> None:
+        return None
+
+    return [(Node, "depart", depart)]
+
+
+@defect("attempts that are out are not ended with their request")
+def forgets_what_is_out() -> list[Patch]:
+    return [(Node, "_end_attempt", lambda self, which: None)]
+
+
+@defect("the timer of a request's deadline is not cancelled")
+def forgets_a_timer() -> list[Patch]:
+    def close(self: Any, call: Call) -> None:
+        for n in range(self._tries.pop(call.id, 0)):
+            self._end_attempt((call.id, n))
+
+    return [(Node, "_close", close)]
+
+
+@defect("the room of a body is not given back")
+def keeps_a_bodys_room() -> list[Patch]:
+    return [(BodyBudget, "give", lambda self, held: None)]
+
+
+@defect("an answer is written twice")
+def answers_twice() -> list[Patch]:
+    send = ClientConnection._send
+
+    async def twice(self: Any, parser: Any, answer: Answer) -> bool:
+        keep = await send(self, parser, answer)
+        if keep and answer.status == 503:
+            await send(self, parser, answer)
+        return keep
+
+    return [(ClientConnection, "_send", twice)]
+
+
+@defect("a broken connection is taken for one on which nothing was sent")
+def takes_a_reset_for_no_connection() -> list[Patch]:
+    run = Attempt.run
+
+    async def wrong(self: Any) -> Outcome:
+        outcome = await run(self)
+        return Outcome("unreachable") if outcome.status in ("broken", "timed_out", "spoilt") else outcome
+
+    return [(Attempt, "run", wrong)]
+
+
+@defect("what comes behind an answer is left on a kept connection")
+def keeps_a_dirty_connection() -> list[Patch]:
+    def release(self: Any) -> None:
+        if self._stream is not None and not self._stream.closed:
+            self._pool.keep(self.server, self._stream)
+
+    return [
+        (Attempt, "_release", release),
+        (Stream, "quiet", property(lambda self: not (self.closed or self.ended))),
+        (upstream, "REST_MS", 0.0),
+    ]
+
+
+@defect("a body that is too short is served as whole")
+def serves_a_short_answer() -> list[Patch]:
+    receive = Attempt._receive
+
+    async def short(self: Any, early: bool) -> Outcome:
+        try:
+            return await receive(self, early)
+        except (TimeoutError, asyncio.CancelledError):
+            raise
+        except Exception:
+            return Outcome("success", 1, b"")
+
+    return [(Attempt, "_receive", short)]
+
+
+@defect("a planned restart ends connections at once")
+def drops_what_is_held_at_a_drain() -> list[Patch]:
+    async def drain(self: Any) -> None:
+        self.draining = True
+        self._pause()
+        self._listener.close()
+        for connection in list(self._connections):
+            connection.abort()
+
+    return [(Frontend, "drain", drain)]
+
+
+@defect("a silent connection is never closed")
+def never_sweeps() -> list[Patch]:
+    return [(Frontend, "_sweep", lambda self: None)]
+
+
+@defect("a request has no deadline of the node's own")
+def has_no_deadline() -> list[Patch]:
+    start = Node._start
+
+    def forever(self: Any, call_id: int, name: str, within_ms: float) -> None:
+        call = self._calls.get(call_id)
+        if call is not None:
+            call.deadline_ms += 60_000.0
+            if call.backstop is not None:
+                call.backstop.cancel()
+        start(self, call_id, name, 60_000.0)
+
+    return [(Node, "_start", forever)]
+
+
+@defect("a server that starts cold is taken for a warm one and gets all writes and reads of its neighbours")
+def pushes_a_cold_server_over() -> list[Patch]:
+    def pick(self: Any, request: Any, now: float) -> Any:
+        fleet = self.fleet
+        if not fleet.ready(now):
+            return None
+        cold = [m for m in fleet.placed if m.present and fleet.is_cold(m, now)]
+        return cold[0] if cold else fleet.neighbours(self.line.range_of(request.position))[0]
+
+    return [(Balancer, "_pick", pick)]
--- /dev/null
+++ b/testbed/explore.py
@@ -0,0 +1,147 @@
+"""Many seeds at once, and the smallest script that still fails."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from typing import Optional
+
+import msgspec
+
+from testbed.defects import patched
+from testbed.script import Fault, Script, World, draw
+from testbed.simulation import run
+
+TRIES_MOST = 400  # runs of one shrink
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """One seed's night in a few words."""
+
+    seed: int
+    failures: tuple[str, ...]
+    digest: str
+    virtual_s: float
+    real_s: float
+    asked: int
+    steps: int
+    first_us: int  # of the first failure; -1 where there is none
+
+
+def play(seed: int, defect: str = "", script: Optional[Script] = None) -> Summary:
+    """Play one seed, with a deliberate defect in the node where one is named."""
+    with patched(defect):
+        result = run(seed, script)
+    first = result.failures[0].at_us if result.failures else -1
+    failures = tuple(map(str, result.failures))
+    return Summary(
+        seed, failures, result.digest, result.virtual_s, result.real_s, result.figures.asked, result.steps, first
+    )
+
+
+def explore(seeds: Iterable[int], jobs: int, defect: str = "") -> Iterator[Summary]:
+    """Play seeds on several processes; the summaries come in the seeds' order."""
+    if jobs <= 1:
+        for seed in seeds:
+            yield play(seed, defect)
+        return
+    with ProcessPoolExecutor(jobs) as pool:
+        futures = [pool.submit(play, seed, defect) for seed in seeds]
+        for future in futures:
+            yield future.result()
+
+
+def kind_of(failure: str) -> str:
+    """What rule a failure is of, without its time and numbers."""
+    return re.sub(r"\d+", "#", failure.split(": ", 2)[1])
+
+
+def shrink(
+    seed: int, script: Script, wanted: str, fails: Callable[[int, Script], tuple[str, ...]]
+) -> tuple[Script, int]:
+    """The smallest script that still breaks the wanted rule (delta debugging, Zeller and Hildebrandt 2002), and how many runs it took.
+
+    fails plays a script and gives its failures. First fewer faults, then a smaller and shorter world, then milder faults.
+    """
+    runs = 0
+
+    def holds(candidate: Script) -> bool:
+        nonlocal runs
+        if runs >= TRIES_MOST:
+            return False
+        runs += 1
+        return any(kind_of(failure) == wanted for failure in fails(seed, candidate))
+
+    script = _fewer(script, holds)
+    changed = True
+    while changed and runs < TRIES_MOST:
+        changed = False
+        for candidate in _smaller(script):
+            if holds(candidate):
+                script, changed = candidate, True
+                break
+    return script, runs
+
+
+def _fewer(script: Script, holds: Callable[[Script], bool]) -> Script:
+    """ddmin over the faults."""
+    faults, parts = list(script.fault), 2
+    if faults and holds(msgspec.structs.replace(script, fault=[])):
+        return msgspec.structs.replace(script, fault=[])
+    while len(faults) >= 2:
+        size = max(1, len(faults) // parts)
+        for at in range(0, len(faults), size):
+            rest = faults[:at] + faults[at + size :]
+            if rest and holds(msgspec.structs.replace(script, fault=rest)):
+                faults, parts = rest, max(2, parts - 1)
+                break
+        else:
+            if size == 1:
+                break
+            parts = min(len(faults), parts * 2)
+    return msgspec.structs.replace(script, fault=faults)
+
+
+def _smaller(script: Script) -> Iterator[Script]:
+    world = script.world
+    nodes = max(
+        [1] + [f.target + 1 for f in script.fault if f.kind.startswith(("node", "clock", "rude", "trip_client"))]
+    )
+    boxes = max([1] + [f.target + 1 for f in script.fault if f.kind.startswith(("box", "trip_request", "trip_answer"))])
+    for change in (
+        {"seconds": max(0.25, round(world.seconds / 2, 3))},
+        {"seconds": max(0.25, round(world.seconds * 0.8, 3))},
+        {"nodes": max(nodes, world.nodes - 1)},
+        {"boxes": max(boxes, world.boxes // 2)},
+        {"boxes": max(boxes, world.boxes - 1)},
+        {"requests_per_s": max(2.0, world.requests_per_s / 2)},
+        {"jitter_us": 0},
+        {"bandwidth": 0},
+        {"keys": max(1, world.keys // 4)},
+    ):
+        fresh: World = msgspec.structs.replace(world, **change)
+        if fresh != world:
+            yield msgspec.structs.replace(script, world=fresh)
+    for n, fault in enumerate(script.fault):
+        for less in _milder(fault):
+            yield msgspec.structs.replace(script, fault=[*script.fault[:n], less, *script.fault[n + 1 :]])
+
+
+def _milder(fault: Fault) -> Iterator[Fault]:
+    if fault.for_ms > 50.0:
+        yield msgspec.structs.replace(fault, for_ms=float(int(fault.for_ms / 2)))
+    if fault.at_ms > 100.0:
+        yield msgspec.structs.replace(fault, at_ms=float(int(fault.at_ms / 2)))
+
+
+def command_of(seed: int, defect: str = "") -> str:
+    """The command that repeats a night."""
+    return f"gradeshift sim run --seed {seed}" + (f" --defect {defect}" if defect else "")
+
+
+def script_of(seed: int) -> Script:
+    """The script that a seed draws."""
+    return draw(seed)
--- a/testbed/loop.py
+++ b/testbed/loop.py
@@ -142,13 +142,13 @@
 
     def add_signal_handler(self, sig: int, callback: Callable[[*_Ts], object], *args: *_Ts) -> None:
         """A handler of the process whose code calls this."""
-        owner = _owner_of(copy_context())
+        owner = owner_of(copy_context())
         if owner is None:
             raise RuntimeError("only a virtual process has signals")
         owner.handlers[sig] = asyncio.Handle(callback, args, self)
 
     def remove_signal_handler(self, sig: int) -> bool:
-        owner = _owner_of(copy_context())
+        owner = owner_of(copy_context())
         return owner is not None and owner.handlers.pop(sig, None) is not None
 
     # -- turns ---------------------------------------------------------------------------
@@ -174,7 +174,7 @@
     def _run(self, handle: asyncio.Handle) -> None:
         if handle.cancelled():
             return
-        owner = _owner_of(handle._context)  # type: ignore[attr-defined]
+        owner = owner_of(handle._context)  # type: ignore[attr-defined]
         if owner is None:
             handle._run()
             return
@@ -199,6 +199,8 @@
                 fresh.append(handle)
         hot: list[asyncio.Handle] = []
         for sock in list(self._hot):
+            if sock.process is not None and not sock.process.running:
+                continue  # nobody polls; it is asked again when the process goes on
             reader, writer = self._readers.get(sock), self._writers.get(sock)
             reads, writes = reader is not None and sock.readable, writer is not None and sock.writable
             if reads and reader is not None:
@@ -226,13 +228,14 @@
 def _make_task(loop: asyncio.AbstractEventLoop, coro: Any, **options: Any) -> asyncio.Task[Any]:
     """A task that its process keeps: what a killed one leaves behind must not be collected, and so run its last lines."""
     task: asyncio.Task[Any] = asyncio.Task(coro, loop=loop, **options)
-    owner = _owner_of(options.get("context") or copy_context())
+    owner = owner_of(options.get("context") or copy_context())
     if owner is not None:
         owner.keep(task)
     return task
 
 
-def _owner_of(context: Context) -> Optional[Process]:
+def owner_of(context: Context) -> Optional[Process]:
+    """The virtual process in whose context something runs; None for the world itself."""
     side = context.get(seam.SIDE)
     return side if side is not None and getattr(side, "virtual", False) else None  # type: ignore[return-value]
 
--- a/testbed/process.py
+++ b/testbed/process.py
@@ -7,7 +7,7 @@
 import signal
 from collections.abc import Callable, Coroutine, Mapping
 from contextlib import suppress
-from contextvars import copy_context
+from contextvars import Context, copy_context
 from typing import Any, Optional
 
 from corkshift import seam
@@ -35,6 +35,7 @@
         self.paused_us: list[tuple[int, int]] = []  # spans in which it stood still
         self.exit: Optional[BaseException] = None
         self.on_end: Callable[[], None] = lambda: None
+        self.context = Context()  # of its code, once it is started
         self.task: Optional[asyncio.Task[Any]] = None
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self._start_ms = 0.0
@@ -98,7 +99,7 @@
         """Run a program in a context of its own."""
         self.state = "running"
         self._start_ms = EPOCH_MS + self.wall_offset_ms
-        context = copy_context()
+        context = self.context = copy_context()
         context.run(seam.enter, self)
         self.task = context.run(asyncio.get_running_loop().create_task, main())
         self.task.add_done_callback(self._ended, context=context)
--- /dev/null
+++ b/testbed/rules.py
@@ -0,0 +1,317 @@
+"""The rules, held against what the world saw, after every step.
+
+1. Each request that a running node has taken gets exactly one final answer, made for it, before its time is up.
+2. Unsafe work that may have run is not repeated and not refused; a keyed one is repeated only within its window.
+3. Nothing goes out for a request after its final answer, or after its client has left.
+4. Nothing goes to a server later than the drain grace after the node was told that it drains or is gone.
+5. No cold server is pushed over: the work sent to it stays within the budget of its present capacity.
+6. The node's own books agree with its sockets after every step, and all are empty at the end.
+
+The witness sees only what a stand-in, a client or the network's wire shows; the books are read in the node itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Optional
+
+from corkshift.service import Service
+from testbed.clients import Ask, Observer
+from testbed.net import VirtualSocket
+from testbed.process import Process
+from testbed.serving import Message
+from testbed.standins import CacheBox, Witness
+
+GRACE_US = 250_000
+MORE_US = 50_000  # each time limit on sockets is this much longer
+FALL_MULTIPLE = 4.0
+FALL_US = 2_000_000
+CHANCE = 1.3  # slack for chance in the cold budget
+CROSSED_US = 2_000  # what is on the way while a word of an end comes
+IDLE_TIMERS = 8  # of a node that has nothing to do: its sweeps, its look at what is out, its call to discovery
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A rule that was broken."""
+
+    at_us: int
+    rule: str
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.at_us / 1e6:.6f} s: {self.rule}: {self.what}"
+
+
+@dataclass(slots=True)
+class Sent:
+    """One attempt as the wire showed it."""
+
+    at_us: int
+    box: str
+    turned_away: bool = False
+
+
+@dataclass(slots=True)
+class Life:
+    """All that is known of one request."""
+
+    ask: Optional[Ask] = None
+    asked_us: int = -1
+    answer: Optional[Message] = None
+    answered_us: int = -1
+    left_us: int = -1
+    sends: list[Sent] = field(default_factory=list)  # first byte left a node
+    begun: list[Sent] = field(default_factory=list)  # last byte reached a box
+    bodies: list[bytes] = field(default_factory=list)
+
+
+class Rules(Witness, Observer):
+    """Collects what happened, and what of it breaks a rule."""
+
+    def __init__(self, now_us: Callable[[], int], note: Callable[[str], None]) -> None:
+        self.failures: list[Failure] = []
+        self.lives: dict[str, Life] = {}
+        self.nodes: dict[str, Process] = {}  # by host: the process that runs there now
+        self.services: dict[Process, Service] = {}
+        self.boxes: dict[str, str] = {}  # host of a box to its name, for the trace
+        self.excused: Callable[[Ask], bool] = lambda ask: False  # the network or a kill is to blame
+        self.fetches = 0
+        self.rude_met = 0
+        self._now = now_us
+        self._note = note
+        self._left_out: dict[tuple[Process, str], int] = {}  # (node, address): since when it may get nothing new
+        self._started: dict[tuple[str, str], float] = {}  # (node, address): the start that it was told of
+        self._heads: dict[VirtualSocket, bytearray] = {}
+        self._work: dict[str, deque[tuple[int, float, bool]]] = {}
+        self._dialed: dict[Process, int] = {}
+        self._accepted: dict[Process, int] = {}
+        self._seen: set[tuple[str, str]] = set()
+
+    def broken(self, rule: str, what: str) -> None:
+        """Note a broken rule, once for each thing it is about."""
+        if (rule, what) not in self._seen:
+            self._seen.add((rule, what))
+            self.failures.append(Failure(self._now(), rule, what))
+            self._note(f"BROKEN {rule}: {what}")
+
+    def life(self, txn: str) -> Life:
+        """What is known of a request."""
+        got = self.lives.get(txn)
+        if got is None:
+            got = self.lives[txn] = Life()
+        return got
+
+    # -- clients -------------------------------------------------------------------------
+
+    def asked(self, ask: Ask) -> None:
+        life = self.life(ask.txn)
+        life.ask, life.asked_us = ask, self._now()
+        self._note(f"client asks {ask.txn} {ask.kind.name} {ask.key} of {ask.node}")
+
+    def answered(self, ask: Ask, answer: Message) -> None:
+        life = self.life(ask.txn)
+        self._note(f"client gets {ask.txn} {answer.status} {len(answer.body)}")
+        if life.answer is not None:
+            self.broken("one final answer", f"{ask.txn} is answered twice")
+        life.answer, life.answered_us = answer, self._now()
+        if answer.status == 200 and answer.body not in life.bodies:
+            self.broken("one final answer", f"{ask.txn} is served with what was not made for it: {answer.body[:40]!r}")
+        may_have_run = [begun for begun in life.begun if not begun.turned_away]
+        if answer.status in (429, 503) and ask.kind.repeat == "unsafe" and may_have_run:
+            self.broken("no effect twice", f"{ask.txn} is refused though it may have run at {may_have_run[0].box}")
+
+    def left(self, ask: Ask) -> None:
+        self.life(ask.txn).left_us = self._now()
+        self._note(f"client leaves {ask.txn}")
+
+    def ended(self, ask: Ask, how: str) -> bool:
+        life = self.life(ask.txn)
+        self._note(f"client has no answer {ask.txn} {how}")
+        if self.excused(ask):
+            return False
+        if how == "no answer":
+            self.broken("one final answer", f"{ask.txn} has none when its time is up")
+        elif life.sends:
+            self.broken("one final answer", f"{ask.txn} was sent on, and its connection ended: {how}")
+        elif not ask.first:
+            return True  # a close that crossed the request: it is sent once more on a new connection
+        return False
+
+    def unasked(self, node: str) -> None:
+        self.broken("one final answer", f"{node} writes on a connection on which nothing is asked")
+
+    def rude(self, name: str, status: int, waited_ms: float) -> None:
+        self.rude_met += 1
+        self._note(f"rude client {name} {status}")
+        if status == -1:
+            self.broken("bad clients", f"{name} got neither an error nor a close in {waited_ms:.0f} ms")
+        elif 200 <= status < 400:
+            self.broken("bad clients", f"{name} was served with {status}")
+
+    # -- boxes ---------------------------------------------------------------------------
+
+    def received(self, box: CacheBox, txn: str, method: str, work_ms: float) -> None:
+        life, now = self.life(txn), self._now()
+        self._note(f"{box.name} receives {txn}")
+        earlier = [begun for begun in life.begun if not begun.turned_away]
+        life.begun.append(Sent(now, box.name))
+        kind = life.ask.kind if life.ask is not None else None
+        if earlier and kind is not None and kind.repeat == "unsafe":
+            self.broken("no effect twice", f"{txn} may have run at {earlier[0].box} and is sent to {box.name}")
+        if earlier and kind is not None and kind.repeat == "keyed":
+            if now - earlier[0].at_us > 1000 * kind.window_ms + MORE_US:
+                self.broken("no effect twice", f"{txn} is sent to {box.name} after the window")
+        if method == "PUT" and life.ask is None and txn == "hidden":
+            self.broken("no effect twice", "a hidden request was passed on")
+        self._cold(box, work_ms, now)
+
+    def turned_away(self, box: CacheBox, txn: str) -> None:
+        self.life(txn).begun[-1].turned_away = True
+        self._note(f"{box.name} turns away {txn}")
+
+    def made(self, box: CacheBox, txn: str, body: bytes) -> None:
+        self.life(txn).bodies.append(body)
+        self._note(f"{box.name} answers {txn}")
+
+    def fetched(self, box: str, key: str) -> None:
+        self.fetches += 1
+        self._note(f"{box} fetches {key}")
+
+    def _cold(self, box: CacheBox, work_ms: float, now: int) -> None:
+        capacity = box.capacity()
+        if capacity >= 1.0:
+            return
+        sent = self._work.setdefault(box.name, deque())
+        host = box.address[0]
+        told = any(address == host for _, address in self._started)
+        sent.append((now, work_ms, told))
+        while sent[0][0] < now - FALL_US:
+            sent.popleft()
+        total = sum(work for _, work, _ in sent)
+        by_told = sum(work for _, work, knew in sent if knew)
+        budget = FALL_MULTIPLE * capacity * box.full_speed * FALL_US / 1000.0 * CHANCE
+        if total > budget and by_told * 3 >= total * 2:
+            self.broken(
+                "no cold server pushed over", f"{box.name} got {total:.0f} ms of work where {budget:.0f} may come"
+            )
+
+    # -- discovery -----------------------------------------------------------------------
+
+    def told(self, node: str, entries: list[dict[str, object]], full: bool) -> None:
+        now = self._now()
+        process = self.nodes.get(node)
+        if process is None or not process.alive:
+            return
+        there = set()
+        for entry in entries:
+            address = str(entry["hostPort"])
+            if entry["lifecycle"] == "in_service":
+                self._left_out.pop((process, address), None)
+                there.add(address)
+                if entry.get("startedAtMs"):
+                    self._started[process.name, address.partition(":")[0]] = float(str(entry["startedAtMs"]))
+        for entry in entries:
+            address = str(entry["hostPort"])
+            if entry["lifecycle"] != "in_service" and address not in there:
+                self._left_out.setdefault((process, address), now)
+                self._note(f"{process.name} is told that {entry['instanceId']} is {entry['lifecycle']}")
+
+    # -- the wire ------------------------------------------------------------------------
+
+    def wire(self, sock: VirtualSocket, piece: bytes, asked: int) -> None:
+        """Bytes left a program. Called by the network for every send."""
+        if sock.remote[0] not in self.boxes or sock.process is None or sock.process not in self.services:
+            return
+        head = self._heads.get(sock)
+        if head is None:
+            if not piece.startswith((b"GET ", b"PUT ")):
+                return
+            head = bytearray()
+        head += piece
+        if b"\r\n\r\n" not in head:
+            self._heads[sock] = head
+            return
+        self._heads.pop(sock, None)
+        at = head.find(b"\r\nX-Txn: ")
+        txn = head[at + 9 : head.index(b"\r\n", at + 9)].decode("latin-1")
+        self._sent(sock, txn)
+
+    def _sent(self, sock: VirtualSocket, txn: str) -> None:
+        now, process = self._now(), sock.process
+        assert process is not None
+        life = self.life(txn)
+        box = self.boxes[sock.remote[0]]
+        life.sends.append(Sent(now, box))
+        self._note(f"{process.name} sends {txn} to {box} #{len(life.sends)}")
+        for ended_us, what in ((life.answered_us, "its final answer"), (life.left_us, "its client had left")):
+            if 0 <= ended_us < now - CROSSED_US and not process.stood_still(ended_us, now):
+                self.broken("nothing after the end", f"{process.name} sends {txn} to {box} after {what}")
+        address = f"{sock.remote[0]}:{sock.remote[1]}"
+        since = self._left_out.get((process, address))
+        if since is not None and now - since > GRACE_US + MORE_US and not process.stood_still(since, now):
+            self.broken(
+                "drains kept", f"{process.name} sends {txn} to {box} {(now - since) / 1000:.0f} ms after it was told"
+            )
+
+    # -- the node's books ----------------------------------------------------------------
+
+    def socket(self, what: str, sock: VirtualSocket) -> None:
+        """A socket was dialed, accepted or closed. Called by the network."""
+        process = sock.process
+        if process is None or process not in self.services:
+            return
+        if what == "dial" and sock.remote[0] in self.boxes:
+            self._dialed[process] = self._dialed.get(process, 0) + 1
+        elif what in ("close", "abort") and sock.dialed and sock.remote[0] in self.boxes:
+            self._dialed[process] -= 1
+        elif what == "accept":
+            self._accepted[process] = self._accepted.get(process, 0) + 1
+        elif what in ("close", "abort") and not sock.dialed and sock.peer is not None:
+            self._accepted[process] -= 1
+
+    def after_step(self, process: Process) -> None:
+        """Hold a node's books against its sockets."""
+        service = self.services.get(process)
+        if service is None or not process.alive:
+            return
+        dialed, accepted = self._dialed.get(process, 0), self._accepted.get(process, 0)
+        if service.pool.open != dialed:
+            self.broken("books", f"{process.name} counts {service.pool.open} connections to servers and has {dialed}")
+        if accepted > len(service.frontend._connections):
+            self.broken("books", f"{process.name} has {accepted} client connections and counts fewer")
+
+    def at_rest(
+        self, loop_timers: list[asyncio.TimerHandle], owner: Callable[[asyncio.TimerHandle], Optional[Process]]
+    ) -> None:
+        """Nobody asks and nothing is owed: all books are empty."""
+        timers: dict[Process, int] = {}
+        for handle in loop_timers:
+            process = owner(handle)
+            if process is not None:
+                timers[process] = timers.get(process, 0) + 1
+        for process, service in self.services.items():
+            if process.state != "running":
+                continue
+            node = service.node
+            left = {
+                "requests": len(node._calls),
+                "tries": len(node._tries),
+                "attempts": len(node._attempts) + len(node._running),
+                "requests of the module": len(node._balancer.held),
+                "bytes of bodies": service.frontend.budget.used,
+                "client connections": len(service.frontend._connections),
+                "timers over the usual": max(0, timers.get(process, 0) - IDLE_TIMERS),
+                "tasks over the usual": max(0, len(process.pending()) - 2),
+                "connections in use": service.pool.open - len(service.pool._resting),
+            }
+            for what, count in left.items():
+                if count:
+                    self.broken("books", f"{process.name} at rest holds {count} {what}")
+
+    def exceptional(self, process: str, message: str) -> None:
+        """Code of the node ended in an exception that nothing expected."""
+        self.broken("no exception", f"{process}: {message}")
--- /dev/null
+++ b/testbed/script.py
@@ -0,0 +1,147 @@
+"""The script of a night: the world's size and the faults in it, as TOML or drawn from a seed (docs/simulation.md)."""
+
+from __future__ import annotations
+
+import random
+import tomllib
+from collections.abc import Iterator
+from typing import Annotated, Literal
+
+import msgspec
+
+from corkshift.cli.schema import Fault as Wrong
+from corkshift.cli.schema import Table, examine
+
+Few = Annotated[int, msgspec.Meta(ge=1, le=64)]
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Millis = Annotated[float, msgspec.Meta(ge=0.0, le=600_000.0)]
+
+Kind = Literal[
+    "box_slow", "box_hang", "box_kill", "box_rename", "box_quick_restart", "box_spoil", "box_errors", "box_turn_away",
+    "box_vanish", "box_drain", "node_kill", "node_pause", "node_term", "node_hup", "node_descriptors", "link_loss",
+    "link_cut", "link_slow", "reset", "trip_request", "trip_answer", "trip_client", "discovery_silent", "discovery_late",
+    "discovery_wrong", "discovery_down", "book_slow", "book_down", "clock_jump", "rude",
+]  # fmt: skip
+TARGETS: dict[str, str] = {
+    kind: "node" if kind.startswith(("node", "clock", "rude", "trip_client")) else "box" if kind.startswith(("box", "trip")) else "any"
+    for kind in Kind.__args__  # type: ignore[attr-defined]
+}  # fmt: skip
+
+
+class BadScript(Exception):
+    """A script has faults."""
+
+    def __init__(self, faults: list[Wrong]) -> None:
+        super().__init__("\n".join(map(str, faults)))
+        self.faults = faults
+
+
+class World(Table, frozen=True, kw_only=True):
+    """`[world]`: sizes, load and network."""
+
+    seconds: Annotated[float, msgspec.Meta(gt=0.0, le=3_600.0)] = 4.0
+    nodes: Few = 2
+    boxes: Few = 5
+    requests_per_s: Annotated[float, msgspec.Meta(gt=0.0, le=5_000.0)] = 60.0
+    keys: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 120
+    latency_us: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 250
+    jitter_us: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 100
+    bandwidth: Annotated[int, msgspec.Meta(ge=0)] = 0
+    descriptors: Annotated[int, msgspec.Meta(ge=32, le=65_536)] = 256
+
+
+class Fault(Table, frozen=True, kw_only=True):
+    """`[[fault]]`: what happens when, to whom, for how long and how much."""
+
+    at_ms: Millis
+    kind: Kind
+    target: Annotated[int, msgspec.Meta(ge=0, le=63)] = 0  # which box or node
+    for_ms: Millis = 0.0  # 0: for good, where it lasts at all
+    value: float = 0.0  # a share, a factor, a count or a byte, by kind
+
+    def contradictions(self) -> Iterator[Wrong]:
+        if self.kind in ("link_loss", "link_cut") and not self.for_ms:
+            yield Wrong("for_ms", f"a {self.kind} must end, or what is on the way is never settled")
+        if self.kind == "link_loss" and not 0.0 <= self.value <= 0.5:
+            yield Wrong("value", f"a share of lost segments from 0 to 0.5, got {self.value:g}")
+
+
+class Script(Table, frozen=True, kw_only=True):
+    """A whole script."""
+
+    world: World = World()
+    fault: list[Fault] = []
+
+    def contradictions(self) -> Iterator[Wrong]:
+        for n, fault in enumerate(self.fault):
+            limit = {"node": self.world.nodes, "box": self.world.boxes}.get(TARGETS[fault.kind], 64)
+            if fault.target >= limit:
+                yield Wrong(f"fault[{n}].target", f"the world has only {limit} of them, from 0, got {fault.target}")
+
+
+def parse_script(text: bytes) -> Script:
+    """Read a script; BadScript names every fault by its path."""
+    try:
+        data = tomllib.loads(text.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise BadScript([Wrong("", f"not TOML: {error}")]) from None
+    if faults := examine(Script, data):
+        raise BadScript(faults)
+    return msgspec.convert(data, Script)
+
+
+def written(script: Script) -> str:
+    """A script as TOML, which `parse_script` reads back to the same."""
+    lines = ["[world]"]
+    lines += [f"{key} = {_plain(value)}" for key, value in msgspec.structs.asdict(script.world).items()]
+    for fault in script.fault:
+        lines += ["", "[[fault]]"]
+        lines += [f"{key} = {_plain(value)}" for key, value in msgspec.structs.asdict(fault).items()]
+    return "\n".join(lines) + "\n"
+
+
+def _plain(value: object) -> str:
+    return f'"{value}"' if isinstance(value, str) else repr(value)
+
+
+def draw(seed: int) -> Script:
+    """The script of a seed: a small world with up to seven faults that overlap."""
+    rng = random.Random(f"script/{seed}")
+    world = World(
+        seconds=rng.choice((2.0, 3.0, 4.0)),
+        nodes=rng.choice((1, 2, 2, 3)),
+        boxes=rng.randint(3, 7),
+        requests_per_s=float(rng.choice((20, 40, 60, 80))),
+        keys=rng.choice((20, 120, 400)),
+        latency_us=rng.choice((50, 250, 700)),
+        jitter_us=rng.choice((0, 0, 100, 300)),
+        bandwidth=rng.choice((0, 0, 0, 2_000_000)),
+        descriptors=rng.choice((64, 256, 256)),
+    )
+    faults = [_draw_fault(rng, world) for _ in range(rng.choice((0, 1, 2, 3, 4, 5, 7)))]
+    return Script(world=world, fault=sorted(faults, key=lambda fault: fault.at_ms))
+
+
+def _draw_fault(rng: random.Random, world: World) -> Fault:
+    kind: Kind = rng.choice(Kind.__args__)  # type: ignore[attr-defined]
+    of = TARGETS[kind]
+    target = rng.randrange(world.nodes if of == "node" else world.boxes if of == "box" else 2)
+    for_ms = float(rng.choice((1, 40, 200, 600, 1_500)))
+    value = 0.0
+    if kind in ("box_slow", "book_slow"):
+        value = float(rng.choice((2, 5, 20)))
+    elif kind == "link_loss":
+        value = rng.choice((0.01, 0.05, 0.2))
+    elif kind == "link_slow":
+        value = float(rng.choice((5_000, 40_000, 150_000)))
+    elif kind in ("box_spoil", "box_errors", "reset"):
+        value = float(rng.choice((1, 3, 10)))
+    elif kind.startswith("trip"):
+        value = float(rng.choice((1, 20, 60, 120, 200, 400, 1_000, 4_000)))
+    elif kind == "clock_jump":
+        value = rng.choice((-3_600_000.0, -2_000.0, 2_000.0, 86_400_000.0))
+    elif kind in ("rude", "discovery_wrong"):
+        value = float(rng.randrange(8))
+    return Fault(
+        at_ms=round(rng.uniform(50.0, world.seconds * 900.0), 3), kind=kind, target=target, for_ms=for_ms, value=value
+    )
--- /dev/null
+++ b/testbed/serving.py
@@ -0,0 +1,217 @@
+"""What the stand-ins share: a server and a requester over the node's own streams, so that they run on both sides of the seam."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Optional, TypeVar
+
+import h11
+
+from corkshift import seam
+from corkshift.seam import Address, Socket
+from corkshift.stream import KERNEL_BUFFER, Stream
+
+MOST_BODY = 1 << 20
+
+Result = TypeVar("Result")
+
+
+class Ended(Exception):
+    """The other side ended or broke the connection before a whole message had come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A whole request or answer."""
+
+    method: str
+    target: str
+    status: int
+    headers: Mapping[bytes, bytes]
+    body: bytes
+
+    def header(self, name: bytes) -> str:
+        return self.headers.get(name, b"").decode("latin-1")
+
+
+class Connection:
+    """One end of an HTTP/1.1 connection, one exchange at a time."""
+
+    def __init__(self, stream: Stream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        self.stream = stream
+        self.exchanges = 0
+        self._role = role
+        self._parser = h11.Connection(role)
+        self._ahead = b""
+
+    @property
+    def clean(self) -> bool:
+        """Whether nothing has come that nobody asked for."""
+        return not self._ahead and self.stream.quiet
+
+    def renew(self) -> None:
+        """Begin the next exchange."""
+        self._ahead = bytes(self._parser.trailing_data[0])
+        self._parser = h11.Connection(self._role)
+        if self._ahead:
+            self._parser.receive_data(self._ahead)
+            self._ahead = b""
+        self.exchanges += 1
+
+    async def read(self) -> Message:
+        """The next whole message; Ended, h11.RemoteProtocolError, or OSError where there is none."""
+        head: Optional[h11.Request | h11.Response] = None
+        body = bytearray()
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.stream.read()
+                if not data and head is None and not self._parser.trailing_data[0]:
+                    raise Ended("between messages")
+                self._parser.receive_data(data)
+            elif isinstance(event, (h11.Request, h11.Response)):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MOST_BODY:
+                    raise Ended("a body without end")
+            elif isinstance(event, h11.EndOfMessage):
+                assert head is not None
+                if isinstance(head, h11.Request):
+                    method, target, status = head.method.decode(), head.target.decode("latin-1"), 0
+                else:
+                    method, target, status = "", "", head.status_code
+                return Message(method, target, status, dict(head.headers), bytes(body))
+            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                raise Ended("closed")
+
+    @property
+    def spent(self) -> bool:
+        """Whether the connection can carry no other exchange."""
+        return h11.MUST_CLOSE in (self._parser.our_state, self._parser.their_state) or self.stream.closed
+
+    async def answer(self, status: int, body: bytes = b"", headers: Mapping[str, str] | None = None) -> None:
+        """Write a whole answer."""
+        fields = [(name, value) for name, value in (headers or {}).items()] + [("Content-Length", str(len(body)))]
+        parser = self._parser
+        data = parser.send(h11.Response(status_code=status, headers=fields, reason=b"-")) or b""
+        data += parser.send(h11.Data(data=body)) or b""
+        data += parser.send(h11.EndOfMessage()) or b""
+        await self.stream.write(data)
+
+    async def ask(self, method: str, target: str, headers: Mapping[str, str], body: bytes = b"") -> None:
+        """Write a whole request."""
+        fields = [("Host", "service.internal"), *headers.items()]
+        if body or method == "PUT":
+            fields.append(("Content-Length", str(len(body))))
+        parser = self._parser
+        data = parser.send(h11.Request(method=method, target=target, headers=fields)) or b""
+        if body:
+            data += parser.send(h11.Data(data=body)) or b""
+        data += parser.send(h11.EndOfMessage()) or b""
+        await self.stream.write(data)
+
+
+async def dial(address: Address, within_s: float) -> Connection:
+    """A connection to a server; OSError (TimeoutError among them) where it does not come up."""
+    sock = seam.stream()
+    try:
+        seam.bound_buffers(sock, KERNEL_BUFFER)
+        async with asyncio.timeout(within_s):
+            await seam.connect(sock, address)
+        return Connection(Stream(sock), h11.CLIENT)
+    except BaseException:
+        sock.close()
+        raise
+
+
+class Server:
+    """A server at an address: `serve` is called for each request that comes whole."""
+
+    def __init__(self, address: Address, backlog: int = 256) -> None:
+        self.address = address
+        self.connections: dict[Connection, asyncio.Task[None]] = {}
+        self._backlog = backlog
+        self._listener: Optional[Socket] = None
+
+    def listen(self) -> None:
+        """Begin to accept. OSError where the address is taken."""
+        self._listener = seam.listen(self.address, KERNEL_BUFFER)
+        self._listener.listen(self._backlog)
+        host, port = self._listener.getsockname()
+        self.address = (host, port)
+        asyncio.get_running_loop().add_reader(self._listener, self._accept)
+
+    def close(self) -> None:
+        """End: the listener and every connection, at once."""
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+        for connection, task in list(self.connections.items()):
+            connection.stream.abort()
+            task.cancel()
+
+    async def run(self) -> None:
+        """Listen until cancelled."""
+        self.listen()
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            self.close()
+
+    async def serve(self, connection: Connection, request: Message) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
+    def _accept(self) -> None:
+        assert self._listener is not None
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            try:
+                connection = Connection(Stream(sock), h11.SERVER)
+            except OSError:
+                sock.close()
+                continue
+            self.connections[connection] = asyncio.get_running_loop().create_task(self._run(connection))
+
+    async def _run(self, connection: Connection) -> None:
+        try:
+            while True:
+                await self.serve(connection, await connection.read())
+                if connection.spent:
+                    return
+                connection.renew()
+        except (OSError, Ended, h11.RemoteProtocolError, h11.LocalProtocolError, asyncio.CancelledError):
+            pass
+        finally:
+            with suppress(KeyError):
+                del self.connections[connection]
+            connection.stream.close()
+
+
+async def while_wanted(stream: Stream, work: asyncio.Task[Result]) -> Result:
+    """Wait for work that nobody wants once the peer has ended its side; Ended where that comes first."""
+
+    def noticed() -> None:
+        if stream.ended:
+            work.cancel()
+
+    before, stream.notice = stream.notice, noticed
+    try:
+        if stream.ended:
+            work.cancel()
+        return await work
+    except asyncio.CancelledError:
+        work.cancel()
+        if stream.ended:
+            raise Ended("given up") from None
+        raise
+    finally:
+        stream.notice = before
--- /dev/null
+++ b/testbed/show.py
@@ -0,0 +1,20 @@
+"""A readable timeline of one request, connection, box or node out of a trace."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Iterator
+
+
+def timeline(lines: Iterable[str], about: str = "") -> Iterator[str]:
+    """The events that name something (as a word), with times in ms and the gap before each; all of them for an empty name."""
+    word = re.compile(rf"(?<![\w.]){re.escape(about)}(?![\w.])") if about else None
+    last = None
+    for line in lines:
+        stamp, _, what = line.rstrip("\n").partition(" ")
+        if not stamp.isdigit() or (word is not None and not word.search(what)):
+            continue
+        at = int(stamp)
+        gap = "" if last is None else f"+{(at - last) / 1000:.3f}"
+        last = at
+        yield f"{at / 1000:12.3f} ms {gap:>12}  {what}"
--- /dev/null
+++ b/testbed/simulation.py
@@ -0,0 +1,588 @@
+"""One simulated night: a world put together from a script, its faults carried out, and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Any, Optional
+
+from corkshift import seam
+from corkshift.config import load
+from corkshift.service import Service
+from testbed.clients import RUDE, Ask, Clients, Figures, settings
+from testbed.loop import Deadlock, Livelock, VirtualLoop, owner_of
+from testbed.net import Network, Trip, VirtualSocket
+from testbed.process import EPOCH_MS, Process
+from testbed.rules import Failure, Rules
+from testbed.script import Fault, Script, draw
+from testbed.serving import Connection, Server
+from testbed.standins import SPOILS, BoxSpec, CacheBox, OrderBook, Registry
+
+QUIET_S = 3.0  # after the last answer, before the books are read
+NOTICE_S = 0.9  # until discovery knows that a process has died,
+ADD_S = 0.5  # or that one has started
+FRONT_S = 0.8  # until the front knows that a node has died
+NODE_PORT, BOX_PORT = 8000, 8001
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of a night."""
+
+    seed: int
+    script: Script
+    failures: list[Failure]
+    digest: str  # of the whole trace
+    events: int
+    virtual_s: float
+    real_s: float
+    figures: Figures
+    steps: int
+    lines: list[str] = field(default_factory=list)
+
+    @property
+    def failed(self) -> bool:
+        return bool(self.failures)
+
+
+class Trace:
+    """One line an event, canonical: time in us, who, what. The digest covers every line, also those that are not kept."""
+
+    def __init__(self, loop: VirtualLoop, keep: bool) -> None:
+        self.lines: list[str] = []
+        self.events = 0
+        self._loop = loop
+        self._keep = keep
+        self._hash = blake2b(digest_size=16)
+
+    def note(self, what: str) -> None:
+        """Add one event."""
+        line = f"{self._loop.now_us:010d} {what}\n"
+        self.events += 1
+        self._hash.update(line.encode())
+        if self._keep:
+            self.lines.append(line)
+
+    @property
+    def digest(self) -> str:
+        return self._hash.hexdigest()
+
+
+class _Log(logging.Handler):
+    """What the node logs is part of the trace; an exception in it is a failure."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(logging.INFO)
+        self._world = world
+
+    def emit(self, record: logging.LogRecord) -> None:
+        side = seam.SIDE.get()
+        name = side.name if isinstance(side, Process) else "world"
+        text = record.getMessage()
+        self._world.trace.note(f"{name} logs {record.levelname} {text}")
+        if record.exc_info:
+            error = record.exc_info[1]
+            self._world.rules.exceptional(name, f"{text}: {type(error).__name__}: {error}")
+
+
+class World:
+    """All processes of a night on one virtual loop."""
+
+    def __init__(self, script: Script, seed: int, loop: VirtualLoop, keep: bool) -> None:
+        w = script.world
+        self.script = script
+        self.loop = loop
+        self.rng = random.Random(f"world/{seed}")
+        self.net = Network(loop, seed)
+        self.net.default.latency_us, self.net.default.jitter_us = w.latency_us, w.jitter_us
+        self.net.default.bandwidth = w.bandwidth
+        self.trace = Trace(loop, keep)
+        self.rules = Rules(lambda: loop.now_us, self.trace.note)
+        self.rules.excused = self._excused
+        self.net.on_send = self.rules.wire
+        self.net.observers += [self.rules.socket, self._trace_socket]
+        loop.after_step = self.rules.after_step
+        self.processes: list[Process] = []
+        self.nodes: dict[str, Process] = {}
+        self.boxes: dict[int, CacheBox] = {}
+        self.box_processes: dict[int, Process] = {}
+        self.registries: list[Registry] = []
+        self.entries: dict[str, dict[str, object]] = {}
+        self._ids = w.boxes
+        self._names = {n: f"s{n}" for n in range(w.boxes)}
+        self._dead_us: dict[str, int] = {}  # of a node: when it last died
+        self._hurt_us: dict[str, list[int]] = {}  # of a node: when client connections of its were broken by the network
+        self.clients = Clients(
+            {f"n{n}": (self._node_host(n), NODE_PORT) for n in range(w.nodes)},
+            self.rules,
+            seed,
+            w.keys,
+            w.requests_per_s,
+        )
+        self.clients.down = self._noticed_down
+        self.front = self._process("clients", "127.5.0.1")
+        self.book = OrderBook(("127.3.0.1", 8002), 8, 15.0)
+        loop.set_exception_handler(self._exception)
+
+    # -- parts ---------------------------------------------------------------------------
+
+    @staticmethod
+    def _node_host(n: int) -> str:
+        return f"127.1.0.{n + 1}"
+
+    @staticmethod
+    def _box_host(n: int) -> str:
+        return f"127.2.0.{n + 1}"
+
+    def _process(self, name: str, host: str) -> Process:
+        process = Process(name, self.net, host)
+        self.processes.append(process)
+        return process
+
+    def start_node(self, n: int, wall_offset_ms: float = 0.0) -> None:
+        """Start a node, or start it again with the list as it last was."""
+        w, name = self.script.world, f"n{n}"
+        process = self._process(name, self._node_host(n))
+        process.descriptors = w.descriptors
+        process.wall_offset_ms = wall_offset_ms
+        known = {"generation": 1, "reset": True, "instances": list(self.entries.values())}
+        config = {
+            "name": name,
+            "listen": f"{process.host}:{NODE_PORT}",
+            "discovery": "127.4.0.1:8500",
+            "seed": f"{self.rng.getrandbits(48):x}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": w.descriptors - 16},
+            "known": known,
+            "settings": settings(),
+        }
+        process.files["config.json"] = json.dumps(config).encode()
+        process.variables["PROXY_CONFIG"] = "config.json"
+
+        async def program() -> None:
+            service = Service(load(seam.environ()))
+            self.rules.services[process] = service
+            await service.run()
+
+        self.nodes[name] = process
+        self.rules.nodes[process.host] = process
+        process.on_end = lambda: self._node_ended(process)
+        process.start(program)
+        self.trace.note(f"{name} starts")
+
+    def _node_ended(self, process: Process) -> None:
+        self.trace.note(f"{process.name} ends {type(process.exit).__name__}")
+        self._dead_us[process.name] = self.loop.now_us
+        if process.exit is not None:
+            self.rules.exceptional(process.name, f"the process ended: {process.exit!r}")
+
+    def start_box(self, n: int, name: str, cold: bool) -> None:
+        """Start a cache box at its place."""
+        address = (self._box_host(n), BOX_PORT)
+        process = self._process(name, address[0])
+        box = CacheBox(name, address, self.book.address, BoxSpec(), self.rules, False)
+        if cold:
+            box._since_ms = EPOCH_MS + self.loop.now_us / 1000.0
+        else:
+            box.warm(self.clients.keys())
+        self.boxes[n], self.box_processes[n], self._names[n] = box, process, name
+        self.rules.boxes[address[0]] = name
+        self.book.voids.append(box.void)
+        process.start(box.run)
+        self.trace.note(f"{name} starts at {address[0]}{' cold' if cold else ''}")
+
+    def _serve(self, name: str, server: Server) -> Process:
+        process = self._process(name, server.address[0])
+        process.start(server.run)
+        return process
+
+    def _excused(self, ask: Ask) -> bool:
+        """Whether a request may go without answer: its node was killed or stood still, or the network broke its connection."""
+        life = self.rules.life(ask.txn)
+        since, now = life.asked_us - 2_000, self.loop.now_us
+        died = self._dead_us.get(ask.node, -1)
+        if died >= since:
+            return True
+        process = self.nodes.get(ask.node)
+        if process is None or process.stood_still(since, now):
+            return True
+        return any(at >= since for at in self._hurt_us.get(ask.node, ()))
+
+    def _noticed_down(self, node: str) -> bool:
+        process = self.nodes.get(node)
+        if process is None or process.alive:
+            return False
+        return self.loop.now_us - self._dead_us.get(node, 0) > FRONT_S * 1e6
+
+    def _exception(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        side = seam.SIDE.get()
+        name = side.name if isinstance(side, Process) else "world"
+        self.rules.exceptional(name, f"{context.get('message')}: {error!r}")
+
+    def _trace_socket(self, what: str, sock: VirtualSocket) -> None:
+        owner = sock.process.name if sock.process is not None else sock.host
+        self.trace.note(f"{owner} {what} {sock.local[0]}:{sock.local[1]} {sock.remote[0]}:{sock.remote[1]}")
+
+    # -- the night -----------------------------------------------------------------------
+
+    async def play(self) -> None:
+        """Start everything, let clients ask while faults come, and read the books at the end."""
+        w = self.script.world
+        self._serve("book", self.book)
+        for n in range(w.boxes):
+            self.start_box(n, f"s{n}", False)
+            self.entries[f"s{n}"] = Registry.entry(f"s{n}", (self._box_host(n), BOX_PORT))
+        for n in range(2):
+            registry = _Registry((f"127.4.0.{n + 1}", 8500), self.rules, self.entries)
+            self.registries.append(registry)
+            self._serve(f"discovery{n}", registry)
+        for n in range(w.nodes):
+            self.start_node(n)
+        await asyncio.sleep(0.05)
+        for fault in self.script.fault:
+            self.loop.after_us(int(fault.at_ms * 1000), self._fault, fault)
+        self.front.start(self._ask)
+        assert self.front.task is not None
+        await self.front.task
+        await asyncio.sleep(QUIET_S)
+        self.clients.close()
+        await asyncio.sleep(0.1)
+        for process in self.processes:
+            process.resume()
+        await asyncio.sleep(0.5)
+        self.rules.at_rest(self.loop.timers(), lambda handle: owner_of(handle._context))  # type: ignore[attr-defined]
+
+    async def _ask(self) -> None:
+        await self.clients.run(self.script.world.seconds)
+
+    # -- faults --------------------------------------------------------------------------
+
+    def _fault(self, fault: Fault) -> None:
+        self.trace.note(f"fault {fault.kind} {fault.target} {fault.for_ms:g} {fault.value:g}")
+        getattr(self, f"_do_{fault.kind}")(fault)
+
+    def _later(self, fault: Fault, action: Callable[..., object], *args: Any) -> None:
+        if fault.for_ms:
+            self.loop.after_us(int(fault.for_ms * 1000), action, *args)
+
+    def _do_box_slow(self, fault: Fault) -> None:
+        box = self.boxes[fault.target]
+        box.slow = fault.value or 5.0
+        self._later(fault, setattr, box, "slow", 1.0)
+
+    def _do_box_hang(self, fault: Fault) -> None:
+        box, event = self.boxes[fault.target], asyncio.Event()
+        box.hang = event
+
+        def go_on() -> None:
+            box.hang = None
+            event.set()
+
+        self._later(fault, go_on)
+
+    def _kill_box(self, n: int) -> None:
+        process, box = self.box_processes[n], self.boxes[n]
+        if not process.alive:
+            return
+        process.kill()
+        self.trace.note(f"{box.name} dies")
+        self.loop.after_us(int(NOTICE_S * 1e6), self._tell_death, n, box.name, process)
+
+    def _tell_death(self, n: int, name: str, process: Process) -> None:
+        if self.box_processes[n] is process and name in self.entries:
+            self._change(self.entries[name], "terminated")
+
+    def _change(self, entry: dict[str, object], lifecycle: str) -> None:
+        for registry in self.registries:  # they share the entries; each tells its own watches
+            registry.change(entry, lifecycle)
+
+    def _restart_box(self, n: int, name: str) -> None:
+        if self.box_processes[n].alive:
+            return
+        self.start_box(n, name, True)
+        started = EPOCH_MS + self.loop.now_us / 1000.0
+        self.loop.after_us(int(ADD_S * 1e6), self._tell_start, n, name, started)
+
+    def _tell_start(self, n: int, name: str, started: float) -> None:
+        if self._names[n] == name and self.box_processes[n].alive:
+            self._change(Registry.entry(name, (self._box_host(n), BOX_PORT), started), "in_service")
+
+    def _do_box_kill(self, fault: Fault) -> None:
+        self._kill_box(fault.target)
+        self._later(fault, self._restart_box, fault.target, self._names[fault.target])
+
+    def _do_box_rename(self, fault: Fault) -> None:
+        self._kill_box(fault.target)
+        self._ids += 1
+        self._later(fault, self._restart_box, fault.target, f"s{self._ids}")
+
+    def _do_box_quick_restart(self, fault: Fault) -> None:
+        name = self._names[fault.target]
+        self._kill_box(fault.target)
+        self.loop.after_us(1_000, self._restart_box, fault.target, name)
+
+    def _do_box_spoil(self, fault: Fault) -> None:
+        self.boxes[fault.target].spoil += [self.rng.choice(SPOILS) for _ in range(int(fault.value) or 1)]
+
+    def _do_box_errors(self, fault: Fault) -> None:
+        self.boxes[fault.target].errors += int(fault.value) or 1
+
+    def _do_box_turn_away(self, fault: Fault) -> None:
+        box = self.boxes[fault.target]
+        box.full = True
+        self._later(fault, setattr, box, "full", False)
+
+    def _do_box_vanish(self, fault: Fault) -> None:
+        host = self.net.host(self._box_host(fault.target))
+        host.up = False
+        self.loop.after_us(int((fault.for_ms or 1_000.0) * 1000), setattr, host, "up", True)
+
+    def _do_box_drain(self, fault: Fault) -> None:
+        n, box, process = fault.target, self.boxes[fault.target], self.box_processes[fault.target]
+        if box.name not in self.entries:
+            return
+        self._change(self.entries[box.name], "terminating")
+        self.loop.after_us(600_000, setattr, box, "draining", True)
+        self.loop.after_us(3_000_000, self._retire, n, process)
+
+    def _retire(self, n: int, process: Process) -> None:
+        if self.box_processes[n] is process:
+            self._kill_box(n)
+
+    def _do_node_kill(self, fault: Fault) -> None:
+        process = self.nodes[f"n{fault.target}"]
+        if process.alive:
+            process.kill()
+            self._dead_us[process.name] = self.loop.now_us
+            self.trace.note(f"{process.name} is killed")
+            self._later(fault, self._restart_node, fault.target)
+
+    def _restart_node(self, n: int, wall_offset_ms: float = 0.0) -> None:
+        if not self.nodes[f"n{n}"].alive:
+            self.start_node(n, wall_offset_ms)
+
+    def _do_node_pause(self, fault: Fault) -> None:
+        process = self.nodes[f"n{fault.target}"]
+        process.pause()
+        self.loop.after_us(int((fault.for_ms or 200.0) * 1000), process.resume)
+
+    def _do_node_term(self, fault: Fault) -> None:
+        process = self.nodes[f"n{fault.target}"]
+        process.signal(signal.SIGTERM)
+        self.loop.after_us(3_700_000, self._end_node, process, fault.target)
+
+    def _end_node(self, process: Process, n: int) -> None:
+        if process.state == "running":
+            self.rules.broken("one final answer", f"{process.name} has not ended 3.7 s after SIGTERM")
+        process.kill()
+        if self.nodes[f"n{n}"] is process:
+            self._restart_node(n)
+
+    def _do_node_hup(self, fault: Fault) -> None:
+        """The configuration names the other place of discovery; the old one closes its watches after 1.5 s."""
+        process = self.nodes[f"n{fault.target}"]
+        config = json.loads(process.files["config.json"])
+        old = 0 if config["discovery"].startswith("127.4.0.1:") else 1
+        config["discovery"] = f"127.4.0.{2 - old}:8500"
+        process.files["config.json"] = json.dumps(config).encode()
+        process.signal(signal.SIGHUP)
+        self.loop.after_us(1_500_000, self.registries[old].drop)
+
+    def _do_node_descriptors(self, fault: Fault) -> None:
+        process = self.nodes[f"n{fault.target}"]
+        before, process.descriptors = process.descriptors, len(process.sockets)
+        self._later(fault, setattr, process, "descriptors", before)
+
+    def _links(self, target: int) -> list[tuple[str, str]]:
+        """Between all nodes and one box; with target 1 the other way too."""
+        box = self._box_host(target % self.script.world.boxes)
+        return [(self._node_host(n), box) for n in range(self.script.world.nodes)]
+
+    def _do_link_loss(self, fault: Fault) -> None:
+        for a, b in self._links(fault.target):
+            for link in (self.net.link(a, b), self.net.link(b, a)):
+                link.loss = fault.value or 0.05
+                self._later(fault, setattr, link, "loss", 0.0)
+
+    def _do_link_cut(self, fault: Fault) -> None:
+        for a, b in self._links(fault.target):
+            link = self.net.link(b, a) if fault.target % 2 else self.net.link(a, b)
+            link.cut = True
+            self._later(fault, setattr, link, "cut", False)
+
+    def _do_link_slow(self, fault: Fault) -> None:
+        for a, b in self._links(fault.target):
+            for link in (self.net.link(a, b), self.net.link(b, a)):
+                before, link.latency_us = link.latency_us, int(fault.value or 20_000)
+                self._later(fault, setattr, link, "latency_us", before)
+
+    def _do_reset(self, fault: Fault) -> None:
+        """Break open connections between nodes and boxes, or between clients and a node."""
+        sockets = [
+            sock for process in self.nodes.values() for sock in process.sockets if sock.state == "open" and sock.peer
+        ]
+        if fault.target % 2:
+            chosen = [sock for sock in sockets if sock.remote[0] in self.rules.boxes]
+        else:
+            chosen = [sock for sock in sockets if sock.remote[0] == "127.5.0.1"]
+        for sock in self.rng.sample(chosen, min(len(chosen), int(fault.value) or 1)):
+            if sock.remote[0] == "127.5.0.1" and sock.process is not None:
+                self._hurt_us.setdefault(sock.process.name, []).append(self.loop.now_us)
+            sock.hurt()
+
+    def _trip(self, source: str, target: str, fault: Fault, action: Callable[[VirtualSocket], None]) -> None:
+        """Arm a fault for the next new connection and for one that is open."""
+        trip = Trip(source, target, max(1, int(fault.value)), action)
+        self.net.trips.append(trip)
+        for process in self.processes:
+            if process.host == source and process.alive:
+                for sock in process.sockets:
+                    if sock.state == "open" and sock.remote[0] == target and sock.trip is None:
+                        trip.connections = 0
+                        sock.trip = Trip(source, target, sock.sent + trip.after, action, 0)
+                        return
+
+    def _do_trip_request(self, fault: Fault) -> None:
+        """The connection breaks, or the box dies, after so many bytes of a request."""
+        n = fault.target
+
+        def act(sock: VirtualSocket) -> None:
+            if int(fault.for_ms) % 2:
+                self._kill_box(n)
+            else:
+                sock.hurt()
+
+        self._trip(self._node_host(0), self._box_host(n), fault, act)
+
+    def _do_trip_answer(self, fault: Fault) -> None:
+        """The same after so many bytes of an answer."""
+        n = fault.target
+
+        def act(sock: VirtualSocket) -> None:
+            if int(fault.for_ms) % 2:
+                self._kill_box(n)
+            else:
+                sock.hurt()
+
+        self._trip(self._box_host(n), self._node_host(0), fault, act)
+
+    def _do_trip_client(self, fault: Fault) -> None:
+        """A client's connection breaks after so many bytes that the node writes to it."""
+
+        def act(sock: VirtualSocket) -> None:
+            self._hurt_us.setdefault(f"n{fault.target}", []).append(self.loop.now_us)
+            sock.hurt()
+
+        self._trip(self._node_host(fault.target), "127.5.0.1", fault, act)
+
+    def _do_discovery_silent(self, fault: Fault) -> None:
+        for registry in self.registries:
+            registry.silent = True
+            self._later(fault, setattr, registry, "silent", False)
+
+    def _do_discovery_late(self, fault: Fault) -> None:
+        for registry in self.registries:
+            registry.late_s = fault.for_ms / 1000.0
+            self.loop.after_us(2_000_000, setattr, registry, "late_s", 0.0)
+
+    def _do_discovery_wrong(self, fault: Fault) -> None:
+        bad = (
+            b"no list\n",
+            b'{"generation":"x","instances":5}\n',
+            b'{"generation":9,"instances":[{"instanceId":5}]}\n',
+            b'{"generation":9,"instances":[{"instanceId":"z","hostPort":"nowhere","lifecycle":"in_service"}]}\n',
+            b'{"generation":9,"instances":[]}\n',
+            b"[1,2]\n",
+            b"{" * 400 + b"\n",
+            b'{"generation":9',
+        )
+        for registry in self.registries:
+            registry.tell_raw(bad[int(fault.value) % len(bad)])
+
+    def _do_discovery_down(self, fault: Fault) -> None:
+        for registry in self.registries:
+            registry.down = True
+            registry.drop()
+            self._later(fault, setattr, registry, "down", False)
+
+    def _do_book_slow(self, fault: Fault) -> None:
+        self.book.service_ms = 15.0 * (fault.value or 5.0)
+        self._later(fault, setattr, self.book, "service_ms", 15.0)
+
+    def _do_book_down(self, fault: Fault) -> None:
+        self.book.down = True
+        self._later(fault, setattr, self.book, "down", False)
+
+    def _do_clock_jump(self, fault: Fault) -> None:
+        """The wall clock of a node's machine is wrong from its next start on."""
+        process = self.nodes[f"n{fault.target}"]
+        if process.alive:
+            process.kill()
+            self._dead_us[process.name] = self.loop.now_us
+            self.loop.after_us(50_000, self._restart_node, fault.target, fault.value)
+
+    def _do_rude(self, fault: Fault) -> None:
+        names = list(RUDE)
+        name = names[int(fault.value) % len(names)]
+        for _ in range(3):
+            self.front.context.run(self.clients.be_rude, f"n{fault.target}", name, RUDE[name])
+
+
+class _Registry(Registry):
+    """Discovery that knows its watchers by their hosts."""
+
+    def node_of(self, connection: Connection) -> str:
+        sock = connection.stream._sock
+        assert isinstance(sock, VirtualSocket)
+        return sock.remote[0]
+
+
+def run(seed: int, script: Optional[Script] = None, keep: bool = False) -> Result:
+    """Play one night. The same seed and script bring the same trace, byte for byte."""
+    script = script if script is not None else draw(seed)
+    began = time.perf_counter()
+    loop = VirtualLoop(seed)
+    world = World(script, seed, loop, keep)
+    log = _Log(world)
+    root = logging.getLogger("corkshift")
+    level, root.propagate = root.level, False
+    root.setLevel(logging.INFO)
+    root.addHandler(log)
+    try:
+        asyncio.set_event_loop(loop)
+        main = loop.create_task(world.play())
+        loop.run_until_complete(main)
+    except (Deadlock, Livelock) as error:
+        world.rules.broken("no standstill", str(error))
+    finally:
+        root.removeHandler(log)
+        root.setLevel(level)
+        root.propagate = True
+        digest, events = world.trace.digest, world.trace.events
+        loop.after_step = None
+        world.net.observers.clear()
+        loop.set_exception_handler(lambda loop, context: None)
+        for process in world.processes:
+            process.bury()
+        main._log_destroy_pending = False  # type: ignore[attr-defined]
+        loop.close()
+        asyncio.set_event_loop(None)
+    return Result(
+        seed,
+        script,
+        world.rules.failures,
+        digest,
+        events,
+        loop.now_us / 1e6,
+        time.perf_counter() - began,
+        world.clients.figures,
+        loop.steps,
+        world.trace.lines,
+    )
