Mend an abort that could end a connection already back in the pool; sharper rules

Change: an attempt that has given its connection back forgets it, so that an abort that comes before its task's end is noticed ends neither a resting connection nor one that another attempt has taken.

--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -281,6 +281,9 @@
     def _release(self) -> None:
         """Keep the connection if both sides are through with this exchange and want another, or close it."""
         stream, parser = self._stream, self._parser
+        # It is the pool's from here on: an abort that comes before the task's end is noticed must not end a connection that
+        # rests, or that another attempt has taken meanwhile.
+        self._stream = None
         if stream is None or stream.closed:
             return
         done = self._written and parser.our_state is h11.DONE and parser.their_state is h11.DONE
--- a/testbed/clients.py
+++ b/testbed/clients.py
@@ -108,7 +108,7 @@
     def unasked(self, node: str) -> None:
         """Something came on a connection on which nothing was asked."""
 
-    def rude(self, name: str, status: int, waited_ms: float) -> None:
+    def rude(self, node: str, name: str, status: int, waited_ms: float) -> None:
         """How a bad client was met: its answer's status, 0 for a close, -1 for neither."""
 
 
@@ -143,7 +143,7 @@
         self.nodes = nodes
         self.figures = Figures()
         self.rate = rate
-        self.left_share = 0.01
+        self.left_share = 0.03
         self.down: Callable[[str], bool] = lambda node: False  # whether the front has noticed that a node is dead
         self._observer = observer
         self._random = random.Random(f"clients/{seed}")
@@ -325,7 +325,7 @@
         except OSError:
             status = 0
         connection.stream.abort()
-        self._observer.rude(name, status, now_ms() - begun)
+        self._observer.rude(node, name, status, now_ms() - begun)
 
 
 _GOOD = b"GET /api/k1 HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Lane: menu-read\r\nX-Remaining-Ms: 2000\r\n"
--- a/testbed/process.py
+++ b/testbed/process.py
@@ -33,6 +33,7 @@
         self.handlers: dict[int, asyncio.Handle] = {}
         self.state = "new"  # new, running, paused, ended, killed
         self.paused_us: list[tuple[int, int]] = []  # spans in which it stood still
+        self.starved_us: list[tuple[int, int]] = []  # spans in which it had no descriptor to accept with
         self.exit: Optional[BaseException] = None
         self.on_end: Callable[[], None] = lambda: None
         self.context = Context()  # of its code, once it is started
@@ -148,6 +149,11 @@
         """Whether it was paused at any time in a span."""
         return any(begin <= until_us and end >= since_us for begin, end in self.paused_us)
 
+    def hindered(self, since_us: int, until_us: int) -> bool:
+        """Whether it was paused, or could accept nothing for want of descriptors, at any time in a span."""
+        starved = any(begin <= until_us and end >= since_us for begin, end in self.starved_us)
+        return starved or self.stood_still(since_us, until_us)
+
     def signal(self, number: int) -> None:
         """Deliver a signal: to its handler, or to what the system does without one."""
         if number == signal.SIGKILL:
--- a/testbed/rules.py
+++ b/testbed/rules.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -30,6 +29,7 @@
 FALL_MULTIPLE = 4.0
 FALL_US = 2_000_000
 CHANCE = 1.3  # slack for chance in the cold budget
+STILL_US = 60_000  # after a request's end nothing of it is out any more
 CROSSED_US = 2_000  # what is on the way while a word of an end comes
 IDLE_TIMERS = 8  # of a node that has nothing to do: its sweeps, its look at what is out, its call to discovery
 
@@ -72,7 +72,7 @@
 class Rules(Witness, Observer):
     """Collects what happened, and what of it breaks a rule."""
 
-    def __init__(self, now_us: Callable[[], int], note: Callable[[str], None]) -> None:
+    def __init__(self, now_us: Callable[[], int], note: Callable[[str], None], later: Callable[..., object]) -> None:
         self.failures: list[Failure] = []
         self.lives: dict[str, Life] = {}
         self.nodes: dict[str, Process] = {}  # by host: the process that runs there now
@@ -83,6 +83,7 @@
         self.rude_met = 0
         self._now = now_us
         self._note = note
+        self._later = later  # calls back after so many us
         self._left_out: dict[tuple[Process, str], int] = {}  # (node, address): since when it may get nothing new
         self._started: dict[tuple[str, str], float] = {}  # (node, address): the start that it was told of
         self._heads: dict[VirtualSocket, bytearray] = {}
@@ -118,6 +119,7 @@
         if life.answer is not None:
             self.broken("one final answer", f"{ask.txn} is answered twice")
         life.answer, life.answered_us = answer, self._now()
+        self._later(STILL_US, self._no_work_left, ask, life.answered_us)
         if answer.status == 200 and answer.body not in life.bodies:
             self.broken("one final answer", f"{ask.txn} is served with what was not made for it: {answer.body[:40]!r}")
         may_have_run = [begun for begun in life.begun if not begun.turned_away]
@@ -126,8 +128,20 @@
 
     def left(self, ask: Ask) -> None:
         self.life(ask.txn).left_us = self._now()
+        self._later(STILL_US, self._no_work_left, ask, self._now())
         self._note(f"client leaves {ask.txn}")
 
+    def _no_work_left(self, ask: Ask, ended_us: int) -> None:
+        """A while after a request's end nothing of it is left in its node."""
+        for process, service in self.services.items():
+            if process.name != ask.node or not process.running or process.hindered(ended_us, self._now()):
+                continue
+            txn = ask.txn.encode()
+            if any(call.txn == txn for call in service.node._calls.values()):
+                self.broken("nothing after the end", f"{process.name} still holds {ask.txn}")
+            if any(attempt._call.txn == txn for attempt in service.node._running.values()):
+                self.broken("nothing after the end", f"an attempt of {process.name} for {ask.txn} is still out")
+
     def ended(self, ask: Ask, how: str) -> bool:
         life = self.life(ask.txn)
         self._note(f"client has no answer {ask.txn} {how}")
@@ -144,9 +158,13 @@
     def unasked(self, node: str) -> None:
         self.broken("one final answer", f"{node} writes on a connection on which nothing is asked")
 
-    def rude(self, name: str, status: int, waited_ms: float) -> None:
+    def rude(self, node: str, name: str, status: int, waited_ms: float) -> None:
         self.rude_met += 1
-        self._note(f"rude client {name} {status}")
+        self._note(f"rude client {name} {status} of {node}")
+        since = self._now() - int(waited_ms * 1000)
+        here = [process for process in self.services if process.name == node]
+        if any(process.hindered(since, self._now()) or not process.alive for process in here):
+            return
         if status == -1:
             self.broken("bad clients", f"{name} got neither an error nor a close in {waited_ms:.0f} ms")
         elif 200 <= status < 400:
@@ -248,7 +266,7 @@
         life.sends.append(Sent(now, box))
         self._note(f"{process.name} sends {txn} to {box} #{len(life.sends)}")
         for ended_us, what in ((life.answered_us, "its final answer"), (life.left_us, "its client had left")):
-            if 0 <= ended_us < now - CROSSED_US and not process.stood_still(ended_us, now):
+            if 0 <= ended_us < now - CROSSED_US and not process.hindered(ended_us, now):
                 self.broken("nothing after the end", f"{process.name} sends {txn} to {box} after {what}")
         address = f"{sock.remote[0]}:{sock.remote[1]}"
         since = self._left_out.get((process, address))
@@ -284,15 +302,15 @@
         if accepted > len(service.frontend._connections):
             self.broken("books", f"{process.name} has {accepted} client connections and counts fewer")
 
-    def at_rest(
-        self, loop_timers: list[asyncio.TimerHandle], owner: Callable[[asyncio.TimerHandle], Optional[Process]]
-    ) -> None:
+    def timers_at_rest(self, timers: dict[Process, int]) -> None:
+        """Shortly after the last answer no timer of a request is left. timers: how many each process has."""
+        for process in self.services:
+            if process.state == "running" and timers.get(process, 0) > IDLE_TIMERS:
+                self.broken("books", f"{process.name} at rest holds {timers[process]} timers")
+
+    def at_rest(self, timers: dict[Process, int]) -> None:
         """Nobody asks and nothing is owed: all books are empty."""
-        timers: dict[Process, int] = {}
-        for handle in loop_timers:
-            process = owner(handle)
-            if process is not None:
-                timers[process] = timers.get(process, 0) + 1
+        self.timers_at_rest(timers)
         for process, service in self.services.items():
             if process.state != "running":
                 continue
@@ -304,7 +322,6 @@
                 "requests of the module": len(node._balancer.held),
                 "bytes of bodies": service.frontend.budget.used,
                 "client connections": len(service.frontend._connections),
-                "timers over the usual": max(0, timers.get(process, 0) - IDLE_TIMERS),
                 "tasks over the usual": max(0, len(process.pending()) - 2),
                 "connections in use": service.pool.open - len(service.pool._resting),
             }
--- a/testbed/script.py
+++ b/testbed/script.py
@@ -42,6 +42,7 @@
     seconds: Annotated[float, msgspec.Meta(gt=0.0, le=3_600.0)] = 4.0
     nodes: Few = 2
     boxes: Few = 5
+    cores: Few = 2  # of a box
     requests_per_s: Annotated[float, msgspec.Meta(gt=0.0, le=5_000.0)] = 60.0
     keys: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 120
     latency_us: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 250
@@ -111,7 +112,8 @@
         seconds=rng.choice((2.0, 3.0, 4.0)),
         nodes=rng.choice((1, 2, 2, 3)),
         boxes=rng.randint(3, 7),
-        requests_per_s=float(rng.choice((20, 40, 60, 80))),
+        cores=rng.choice((1, 2)),
+        requests_per_s=float(rng.choice((20, 40, 60, 80, 150))),
         keys=rng.choice((20, 120, 400)),
         latency_us=rng.choice((50, 250, 700)),
         jitter_us=rng.choice((0, 0, 100, 300)),
--- a/testbed/simulation.py
+++ b/testbed/simulation.py
@@ -25,7 +25,8 @@
 from testbed.serving import Connection, Server
 from testbed.standins import SPOILS, BoxSpec, CacheBox, OrderBook, Registry
 
-QUIET_S = 3.0  # after the last answer, before the books are read
+SOON_S = 0.3  # after the last answer, before timers are counted (those of deadlines have not come due by then),
+QUIET_S = 2.7  # and before all books are read
 NOTICE_S = 0.9  # until discovery knows that a process has died,
 ADD_S = 0.5  # or that one has started
 FRONT_S = 0.8  # until the front knows that a node has died
@@ -104,7 +105,7 @@
         self.net.default.latency_us, self.net.default.jitter_us = w.latency_us, w.jitter_us
         self.net.default.bandwidth = w.bandwidth
         self.trace = Trace(loop, keep)
-        self.rules = Rules(lambda: loop.now_us, self.trace.note)
+        self.rules = Rules(lambda: loop.now_us, self.trace.note, loop.after_us)
         self.rules.excused = self._excused
         self.net.on_send = self.rules.wire
         self.net.observers += [self.rules.socket, self._trace_socket]
@@ -117,7 +118,8 @@
         self.entries: dict[str, dict[str, object]] = {}
         self._ids = w.boxes
         self._names = {n: f"s{n}" for n in range(w.boxes)}
-        self._dead_us: dict[str, int] = {}  # of a node: when it last died
+        self._dead_us: dict[str, int] = {}  # of a node: when it was last killed
+        self._gone_us: dict[str, int] = {}  # or ended in order, which excuses nothing
         self._hurt_us: dict[str, list[int]] = {}  # of a node: when client connections of its were broken by the network
         self.clients = Clients(
             {f"n{n}": (self._node_host(n), NODE_PORT) for n in range(w.nodes)},
@@ -178,7 +180,7 @@
 
     def _node_ended(self, process: Process) -> None:
         self.trace.note(f"{process.name} ends {type(process.exit).__name__}")
-        self._dead_us[process.name] = self.loop.now_us
+        self._gone_us[process.name] = self.loop.now_us
         if process.exit is not None:
             self.rules.exceptional(process.name, f"the process ended: {process.exit!r}")
 
@@ -186,7 +188,7 @@
         """Start a cache box at its place."""
         address = (self._box_host(n), BOX_PORT)
         process = self._process(name, address[0])
-        box = CacheBox(name, address, self.book.address, BoxSpec(), self.rules, False)
+        box = CacheBox(name, address, self.book.address, BoxSpec(cores=self.script.world.cores), self.rules, False)
         if cold:
             box._since_ms = EPOCH_MS + self.loop.now_us / 1000.0
         else:
@@ -212,13 +214,15 @@
         process = self.nodes.get(ask.node)
         if process is None or process.stood_still(since, now):
             return True
+        if not life.sends and process.hindered(since, now):
+            return True  # it stood in the backlog
         return any(at >= since for at in self._hurt_us.get(ask.node, ()))
 
     def _noticed_down(self, node: str) -> bool:
         process = self.nodes.get(node)
         if process is None or process.alive:
             return False
-        return self.loop.now_us - self._dead_us.get(node, 0) > FRONT_S * 1e6
+        return self.loop.now_us - max(self._dead_us.get(node, 0), self._gone_us.get(node, 0)) > FRONT_S * 1e6
 
     def _exception(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
@@ -251,13 +255,23 @@
         self.front.start(self._ask)
         assert self.front.task is not None
         await self.front.task
+        await asyncio.sleep(SOON_S)
+        self._read_books(self.rules.timers_at_rest)
         await asyncio.sleep(QUIET_S)
         self.clients.close()
         await asyncio.sleep(0.1)
         for process in self.processes:
             process.resume()
         await asyncio.sleep(0.5)
-        self.rules.at_rest(self.loop.timers(), lambda handle: owner_of(handle._context))  # type: ignore[attr-defined]
+        self._read_books(self.rules.at_rest)
+
+    def _read_books(self, read: Callable[[dict[Process, int]], None]) -> None:
+        timers: dict[Process, int] = {}
+        for handle in self.loop.timers():
+            owner = owner_of(handle._context)  # type: ignore[attr-defined]
+            if owner is not None:
+                timers[owner] = timers.get(owner, 0) + 1
+        read(timers)
 
     async def _ask(self) -> None:
         await self.clients.run(self.script.world.seconds)
@@ -397,8 +411,11 @@
 
     def _do_node_descriptors(self, fault: Fault) -> None:
         process = self.nodes[f"n{fault.target}"]
-        before, process.descriptors = process.descriptors, len(process.sockets)
-        self._later(fault, setattr, process, "descriptors", before)
+        process.descriptors = len(process.sockets)
+        for_ms = fault.for_ms or 1_000.0
+        # What waits in the backlog is taken a moment later.
+        process.starved_us.append((self.loop.now_us, self.loop.now_us + int(for_ms * 1000) + 200_000))
+        self.loop.after_us(int(for_ms * 1000), setattr, process, "descriptors", self.script.world.descriptors)
 
     def _links(self, target: int) -> list[tuple[str, str]]:
         """Between all nodes and one box; with target 1 the other way too."""
--- a/testbed/standins.py
+++ b/testbed/standins.py
@@ -304,6 +304,8 @@
     def tell_raw(self, data: bytes) -> None:
         """Write bytes that need not be a list to every watch."""
         for connection in list(self.watches):
+            if not data.endswith(b"\n"):
+                self.watches[connection] = ""  # what comes next belongs to this line, and tells nothing
             asyncio.get_running_loop().create_task(
                 self._write(connection, b"%x\r\n%s\r\n" % (len(data), data), "", [], False)
             )
