demo: a small installation on loopback, with a line of figures a second

Need: the README's first command should need no file and show what the node does.

Change: discovery, an order book with a limit, six cache boxes, one node and clients, from the same stand-ins as the simulation; sizes from [demo] of the operator's file.

--- a/corkshift/cli/__init__.py
+++ b/corkshift/cli/__init__.py
@@ -17,6 +17,8 @@
     commands.add_parser("run", help="serve as PROXY_CONFIG tells (the same as no command)")
     check = commands.add_parser("check", help="validate a node's configuration or an operator's file")
     check.add_argument("file", metavar="FILE")
+    demo = commands.add_parser("demo", help="a small installation on loopback, with a line of figures a second")
+    demo.add_argument("--seconds", type=float, metavar="N", help="end after so long (else at Ctrl-C)")
     from testbed.cli import add_sim
 
     add_sim(commands)
@@ -31,6 +33,10 @@
         from corkshift.cli.check import check
 
         return check(args.file)
+    if args.command == "demo":
+        from corkshift.cli.demo import demo
+
+        return demo(args.seconds, args.operator)
     if args.command == "sim":
         from testbed.cli import sim
 
--- /dev/null
+++ b/corkshift/cli/demo.py
@@ -0,0 +1,165 @@
+"""`demo`: a small installation on loopback, with one line of figures a second."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from dataclasses import replace
+from typing import Optional
+
+from corkshift.cli.operator import BadOperatorFile, Demo, read
+from corkshift.config import config_of
+from corkshift.seam import process
+from corkshift.service import Service
+from testbed.clients import Clients, Observer, settings
+from testbed.standins import BoxSpec, CacheBox, OrderBook, Registry, Witness
+
+HOST = "127.0.0.1"
+
+
+class Installation:
+    """Discovery, an order book, cache boxes, one node and clients, on ports that the system chooses."""
+
+    def __init__(self, size: Demo) -> None:
+        self.size = size
+        witness = Witness()
+        self.book = OrderBook((HOST, 0), size.book_places, 15.0)
+        self.registry = Registry((HOST, 0), witness)
+        self.boxes: list[CacheBox] = []
+        self.service: Optional[Service] = None
+        self.clients: Optional[Clients] = None
+        self._witness = witness
+
+    def start(self) -> None:
+        """Start everything; OSError where the system gives no sockets."""
+        size = self.size
+        self.book.listen()
+        self.registry.listen()
+        for n in range(size.boxes):
+            cold = n < size.cold_boxes
+            box = CacheBox(f"box-{n}", (HOST, 0), self.book.address, BoxSpec(), self._witness, cold)
+            box.listen()
+            self.book.voids.append(box.void)
+            self.boxes.append(box)
+            self.registry.entries[box.name] = Registry.entry(box.name, box.address, box.started_ms)
+        place = f"{HOST}:{self.registry.address[1]}"
+        config = {
+            "name": "demo",
+            "listen": place,
+            "discovery": place,
+            "seed": 1,
+            "limits": {},
+            "settings": settings(),
+        }
+        self.service = Service(replace(config_of(config, {}), listen=(HOST, 0)))
+        rate, keys = size.requests_per_s, size.keys
+        self.clients = Clients({"demo": self.service.frontend.address}, Observer(), 1, keys, rate, size.write_share)
+        self.clients.most = size.clients
+
+    def addresses(self) -> str:
+        """Who listens where, a row each."""
+        assert self.service is not None
+        rows = [
+            ("node", self.service.frontend.address),
+            ("discovery", self.registry.address),
+            ("order book", self.book.address),
+        ]
+        rows += [(box.name, box.address) for box in self.boxes]
+        return "\n".join(f"  {name:<11} http://{host}:{port}" for name, (host, port) in rows)
+
+    def line(self, second: int, before: dict[str, int]) -> str:
+        """What the last second brought."""
+        now = self.counts()
+        less = {name: now[name] - before.get(name, 0) for name in now}
+        before.update(now)
+        parts = "  ".join(f"{name} {value:>4}" for name, value in less.items())
+        return f"{second:>4} s  {parts}"
+
+    def counts(self) -> dict[str, int]:
+        """The totals so far."""
+        assert self.clients is not None
+        figures = self.clients.figures
+        return {
+            "requests": figures.asked,
+            "in time": figures.in_time,
+            "refused": figures.refused,
+            "failed": figures.failed + figures.unanswered,
+            "hits": sum(box.hits for box in self.boxes),
+            "book fetches": self.book.fetches,
+        }
+
+    def summary(self) -> str:
+        """The totals in one line."""
+        counts = self.counts()
+        asked = max(1, counts["requests"])
+        reads = max(1, counts["hits"] + sum(box.misses for box in self.boxes))
+        return (
+            f"{counts['requests']} requests, {100.0 * counts['in time'] / asked:.1f}% served in time, "
+            f"{counts['refused']} refused, {counts['failed']} failed, "
+            f"{100.0 * counts['hits'] / reads:.1f}% of reads were hits, {counts['book fetches']} book fetches"
+        )
+
+    async def run(self, seconds: Optional[float]) -> None:
+        """Run for so long, or until SIGINT or SIGTERM, with a line a second."""
+        assert self.service is not None and self.clients is not None
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        node = loop.create_task(self.service.run())
+        await asyncio.sleep(0)  # the node sets its own handlers first; these end the whole
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, stop.set)
+        while len(self.service.node.servers) < len(self.boxes) and not stop.is_set():
+            await asyncio.sleep(0.01)  # until discovery has told of them
+        if seconds is not None:
+            loop.call_later(seconds, stop.set)
+        asking = loop.create_task(self.clients.run(86_400.0 if seconds is None else seconds))
+        before: dict[str, int] = {}
+        second = 0
+        while not stop.is_set():
+            try:
+                async with asyncio.timeout(1.0):
+                    await stop.wait()
+            except TimeoutError:
+                second += 1
+                print(self.line(second, before), flush=True)
+        self.clients.stop()
+        await asking
+        self.clients.close()
+        self.service.stop()
+        await node
+        for server in (*self.boxes, self.registry, self.book):
+            server.close()
+
+
+async def _demo(size: Demo, seconds: Optional[float]) -> None:
+    installation = Installation(size)
+    installation.start()
+    print(f"A node, {size.boxes} cache boxes, their order book and clients, all on loopback:")
+    print(installation.addresses())
+    print("Ctrl-C ends it." if seconds is None else f"It ends by itself after {seconds:g} s.", flush=True)
+    await installation.run(seconds)
+    print(installation.summary())
+
+
+def demo(seconds: Optional[float], operator: Optional[str]) -> int:
+    """Run the demo; the exit code. Sizes come from `[demo]` of the operator's file, where there is one."""
+    path = operator or os.environ.get("GRADESHIFT_OPERATOR")
+    try:
+        size = (read(path).demo if path else None) or Demo()
+    except BadOperatorFile as error:
+        print(f"gradeshift demo: {error}", file=sys.stderr)
+        return 2
+    if seconds is not None and not 0.0 < seconds <= 86_400.0:
+        print(f"gradeshift demo: --seconds: more than 0 and at most 86400, got {seconds:g}", file=sys.stderr)
+        return 2
+    process.prepare()
+    logging.getLogger().setLevel(logging.WARNING)
+    try:
+        process.play(_demo(size, seconds if seconds is not None else size.seconds))
+    except OSError as error:
+        print(f"gradeshift demo: {error.strerror}", file=sys.stderr)
+        return 1
+    return 0
--- a/corkshift/config.py
+++ b/corkshift/config.py
@@ -56,12 +56,13 @@
     except orjson.JSONDecodeError as error:
         raise BadConfig(f"{path} is not JSON: {error}") from None
     try:
-        return _parse(data, environ)
+        return config_of(data, environ)
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise BadConfig(f"{path}: {type(error).__name__}: {error}") from None
 
 
-def _parse(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
+def config_of(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    """The configuration that parsed JSON and the variables tell; AttributeError, KeyError, TypeError or ValueError if malformed."""
     options = data["settings"]
     allowed, contract = options.get("allowed") or {}, options.get("contract") or {}
     limits = data.get("limits") or {}
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -39,12 +39,16 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
+            loop.add_signal_handler(number, self.stop)
         self.discovery.start(self.config.known)
         self.frontend.start()
         await self._stop.wait()
         await self.frontend.drain()
 
+    def stop(self) -> None:
+        """Begin the drain."""
+        self._stop.set()
+
     def reload(self) -> None:
         """Read the file again and go where discovery is now; a file that is of no use changes nothing.
 
--- a/testbed/clients.py
+++ b/testbed/clients.py
@@ -144,6 +144,7 @@
         self.figures = Figures()
         self.rate = rate
         self.left_share = 0.03
+        self.most = 10_000  # requests out at once; beyond them clients wait to ask
         self.down: Callable[[str], bool] = lambda node: False  # whether the front has noticed that a node is dead
         self._observer = observer
         self._random = random.Random(f"clients/{seed}")
@@ -159,6 +160,7 @@
         self._shares = [c.share * share / writes if c.method == "PUT" else 1.0 - share for c in CLASSES]
         self._idle: dict[str, list[Connection]] = {}
         self._number = 0
+        self._stopped = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     def keys(self) -> list[str]:
@@ -168,14 +170,19 @@
     async def run(self, seconds: float) -> None:
         """Ask for so long, and wait for what is out."""
         end = now_ms() + seconds * 1000.0
-        while True:
+        while not self._stopped:
             await asyncio.sleep(self._random.expovariate(self.rate))
             if now_ms() >= end:
                 break
-            self._spawn(self._first_try())
+            if len(self._tasks) < self.most:
+                self._spawn(self._first_try())
         while self._tasks:
             await asyncio.wait(self._tasks)
 
+    def stop(self) -> None:
+        """Ask nothing new."""
+        self._stopped = True
+
     def close(self) -> None:
         """Close every idle connection."""
         for idle in self._idle.values():
--- a/testbed/rules.py
+++ b/testbed/rules.py
@@ -30,7 +30,7 @@
 FALL_US = 2_000_000
 CHANCE = 1.3  # slack for chance in the cold budget
 STILL_US = 60_000  # after a request's end nothing of it is out any more
-CROSSED_US = 2_000  # what is on the way while a word of an end comes
+CROSSED_US = 20_000  # what is on the way while word of an end comes (over a slow link it waits its turn)
 IDLE_TIMERS = 8  # of a node that has nothing to do: its sweeps, its look at what is out, its call to discovery
 
 
--- a/testbed/standins.py
+++ b/testbed/standins.py
@@ -84,6 +84,11 @@
         self._done: dict[str, tuple[float, bytes]] = {}  # by idempotency key: when, and what was answered
         self._links: list[Connection] = []
 
+    @property
+    def started_ms(self) -> float:
+        """When it started cold, as discovery tells it; 0 for long ago."""
+        return self._since_ms
+
     def capacity(self) -> float:
         """The part of its full speed that it has now: it grows evenly from the cold share."""
         age = now_ms() - self._since_ms
@@ -134,7 +139,7 @@
         if status == 200:
             body = b"%s %s %s\n" % (self.name.encode(), txn.encode(), body)
             self._witness.made(self, txn, body)
-        if self.spoil:
+        if self.spoil and status == 200:
             await self._spoilt(self.spoil.pop(0), connection, body)
             return
         await connection.answer(status, body, {"X-Found": found} if found else {})
