Network model: a closed socket answers every segment with RST; tests of hurt links and datagrams

Need: what loopback can't show (latency, bandwidth, loss, one-way cuts, vanished machines, hurt datagrams) had no test of its own.

One found that data sent to a machine that had vanished, and whose process had died meanwhile, met silence when the machine was back, where a kernel answers with RST; the model does so now.

--- a/testbed/net.py
+++ b/testbed/net.py
@@ -421,11 +421,11 @@
             return
         if isinstance(what, bytes):
             self.net.loop.after_us(self.net.delay(self.host, peer.host), peer.acknowledged, len(what))
-        if self.reset or self.dead:
-            return
-        if self.closed:
+        if self.closed or self.dead:
             if what != "fin":
-                self.send_reset()  # there is nobody to read it
+                self.send_reset()  # there is nobody to read it, and an earlier word of that may have been lost
+            return
+        if self.reset:
             return
         if what == "fin":
             self.rx_end = True
