--- a/testbed/simulation.py
+++ b/testbed/simulation.py
@@ -467,29 +467,24 @@
                         sock.trip = Trip(source, target, sock.sent + trip.after, action, 0)
                         return
 
-    def _do_trip_request(self, fault: Fault) -> None:
-        """The connection breaks, or the box dies, after so many bytes of a request."""
-        n = fault.target
+    def _breaking(self, fault: Fault) -> Callable[[VirtualSocket], None]:
+        """What a trip does: the box dies where for_ms is odd, else the connection breaks."""
 
         def act(sock: VirtualSocket) -> None:
             if int(fault.for_ms) % 2:
-                self._kill_box(n)
+                self._kill_box(fault.target)
             else:
                 sock.hurt()
 
-        self._trip(self._node_host(0), self._box_host(n), fault, act)
-
-    def _do_trip_answer(self, fault: Fault) -> None:
-        """The same after so many bytes of an answer."""
-        n = fault.target
+        return act
 
-        def act(sock: VirtualSocket) -> None:
-            if int(fault.for_ms) % 2:
-                self._kill_box(n)
-            else:
-                sock.hurt()
+    def _do_trip_request(self, fault: Fault) -> None:
+        """After so many bytes of a request."""
+        self._trip(self._node_host(0), self._box_host(fault.target), fault, self._breaking(fault))
 
-        self._trip(self._box_host(n), self._node_host(0), fault, act)
+    def _do_trip_answer(self, fault: Fault) -> None:
+        """After so many bytes of an answer."""
+        self._trip(self._box_host(fault.target), self._node_host(0), fault, self._breaking(fault))
 
     def _do_trip_client(self, fault: Fault) -> None:
         """A client's connection breaks after so many bytes that the node writes to it."""
@@ -579,6 +574,8 @@
         loop.run_until_complete(main)
     except (Deadlock, Livelock) as error:
         world.rules.broken("no standstill", str(error))
+    except Exception as error:  # the world itself: told as a failure of its seed, so that the others go on
+        world.rules.exceptional("world", f"{type(error).__name__}: {error}")
     finally:
         root.removeHandler(log)
         root.setLevel(level)
