Scripted boxes of the socket tests run on the testbed's server; one discovery for all

testbed/scripted.py holds a box that answers by a script (bytes, nothing, an error, or an awaitable that is given up when the node ends its sending); tests/loopback.py uses it and testbed's discovery. No assertion changed but the form of what discovery was asked.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,12 +1,11 @@
-"""What the socket tests share: a node in this process, and stand-ins for cache servers and discovery, all on loopback."""
+"""What the socket tests share: a node in this process, and the testbed's stand-ins, all on loopback."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
-from typing import Any, Optional
+from typing import Any
 
 from corkshift.config import Config
 from corkshift.discovery import Discovery
@@ -14,6 +13,12 @@
 from corkshift.node import Node
 from corkshift.upstream import Pool
 from forkweir.adapter import settings_of
+from testbed import standins
+from testbed.scripted import ScriptedBox as CacheBox
+from testbed.scripted import good, path_of, whole
+from testbed.serving import Connection, Message
+
+__all__ = ["CacheBox", "Registry", "Rig", "entry", "good", "path_of", "play", "request", "rig", "status", "until", "whole"]
 
 PATIENCE_S = 30.0  # generous: what is waited for comes at once on an idle machine
 OPTIONS: dict[str, Any] = {
@@ -28,7 +33,6 @@
     "contract": {"mustAskInMs": 1000, "stopSendingWithinMs": 250},
     "allowed": {"mostTries": 3, "retryAfter": True, "maxRetryAfterMs": 1200, "mayCancel": True, "dialTimeoutMs": 5000},
 }
-Script = Callable[[bytes], Optional[bytes]]
 
 
 def play(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -47,95 +51,34 @@
         await asyncio.sleep(0.005)
 
 
-def good(head: bytes) -> bytes:
-    """The answer of a cache server that is well: it names the request."""
-    return whole(b"for " + path_of(head))
-
-
-def whole(body: bytes, head: bytes = b"") -> bytes:
-    return b"HTTP/1.1 200 OK\r\nX-Found: hit\r\n%sContent-Length: %d\r\n\r\n%s" % (head, len(body), body)
-
-
-def path_of(head: bytes) -> bytes:
-    return head.split(b" ", 2)[1]
+def entry(name: str, port: int, lifecycle: str = "in_service") -> dict[str, object]:
+    """One server as discovery tells it."""
+    return {**standins.Registry.entry(name, ("127.0.0.1", port)), "lifecycle": lifecycle}
 
 
-class CacheBox:
-    """A cache server that answers each head by its script; None leaves the request without an answer."""
-
-    def __init__(self, script: Script = good) -> None:
-        self.script = script
-        self.heads: list[bytes] = []
-        self.bodies: list[bytes] = []
-        self.open = 0
-        self.port = 0
-        self._server: Optional[asyncio.Server] = None
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.open += 1
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = [line for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")]
-                self.bodies.append(await reader.readexactly(int(length[0].split(b":")[1])) if length else b"")
-                self.heads.append(head)
-                if (answer := self.script(head)) is not None:
-                    writer.write(answer)
-                    await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self.open -= 1
-            writer.transport.abort()
-
-
-class Registry:
-    """Discovery: each watch gets the whole list, and later the changes that a test writes."""
+class Registry(standins.Registry):
+    """Discovery that knows these boxes; tests tell the rest."""
 
     def __init__(self, boxes: dict[str, CacheBox]) -> None:
+        super().__init__(("127.0.0.1", 0), standins.Witness())
         self.boxes = boxes
-        self.asked: list[bytes] = []
-        self.port = 0
-        self._watches: list[asyncio.StreamWriter] = []
-        self._server: Optional[asyncio.Server] = None
+        self.asked: list[str] = []  # the targets of requests
 
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def line(self, states: dict[str, tuple[int, str]], reset: bool, generation: int = 1) -> bytes:
-        entries = [{"instanceId": n, "hostPort": f"127.0.0.1:{p}", "lifecycle": s} for n, (p, s) in states.items()]
-        text = json.dumps({"generation": generation, "reset": reset, "instances": entries}).encode() + b"\n"
-        return b"%x\r\n%s\r\n" % (len(text), text)
+    @property
+    def port(self) -> int:
+        return self.address[1]
 
-    def tell(self, states: dict[str, tuple[int, str]], reset: bool = False) -> None:
-        for writer in self._watches:
-            writer.write(self.line(states, reset, 2))
+    def start(self) -> None:
+        self.entries.update({name: entry(name, box.port) for name, box in self.boxes.items()})
+        self.listen()
 
     async def stop(self) -> None:
-        assert self._server is not None
-        self._server.close()
-        for writer in list(self._watches):
-            writer.transport.abort()
-        await until(lambda: not self._watches)
+        self.close()
+        await until(lambda: not self.watches)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            self.asked.append(await reader.readuntil(b"\r\n\r\n"))
-            self._watches.append(writer)
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            writer.write(self.line({name: (box.port, "in_service") for name, box in self.boxes.items()}, True))
-            await reader.read()
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            if writer in self._watches:
-                self._watches.remove(writer)
-            writer.close()
+    async def serve(self, connection: Connection, request: Message) -> None:
+        self.asked.append(request.target)
+        await super().serve(connection, request)
 
 
 class Rig:
@@ -194,9 +137,9 @@
 async def rig(boxes: dict[str, CacheBox], sockets: int = 64) -> AsyncIterator[Rig]:
     """A node that knows these cache servers and serves."""
     for box in boxes.values():
-        await box.start()
+        box.listen()
     registry = Registry(boxes)
-    await registry.start()
+    registry.start()
     made = Rig(boxes, registry, sockets)
     made.discovery.start({})
     made.discovery.follow()
@@ -206,6 +149,8 @@
         yield made
     finally:
         await registry.stop()
+        for box in boxes.values():
+            box.close()
 
 
 def status(answer: bytes) -> int:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from loopback import CacheBox, play, rig, status, until
+from loopback import CacheBox, entry, play, rig, status, until
 
 from forkweir.choice import Balancer
 from forkweir.fleet import HOLD_MS
@@ -17,8 +17,8 @@
         old, new = CacheBox(), CacheBox()
         async with rig({"s0": old}) as made:
             assert status(await made.ask("before")) == 200
-            await new.start()
-            made.registry.tell({"s0": (new.port, "in_service")})
+            new.listen()
+            made.registry.tell([entry("s0", new.port)])
             await until(lambda: made.node.servers["s0"].address[1] == new.port)
             assert status(await made.ask("after")) == 200
             assert len(old.heads) == 1 and len(new.heads) == 1
@@ -32,12 +32,12 @@
     async def test() -> None:
         box = CacheBox()
         async with rig({"s0": box}) as made:
-            made.registry.tell({"s1": (box.port, "in_service")})
+            made.registry.tell([entry("s1", box.port)])
             await until(lambda: "s1" in made.node.servers)
             assert list(made.node.servers) == ["s1"]
             members = made.node._balancer.fleet.members
             assert members["s1"].present and not members["s0"].present
-            made.registry.tell({"s1": (box.port, "in_service"), "s2": (box.port, "terminating")})
+            made.registry.tell([entry("s1", box.port), entry("s2", box.port, "terminating")])
             await until(lambda: "s2" in made.node.servers)
             assert "s1" in made.node.servers  # one that leaves takes nobody's place
             assert status(await made.ask("a")) == 200
@@ -49,7 +49,7 @@
     async def test() -> None:
         box, fresh = CacheBox(), CacheBox()
         async with rig({"s0": box}) as made:
-            await fresh.start()
+            fresh.listen()
             entries: list[Any] = [
                 {"instanceId": "bad", "hostPort": "nowhere", "lifecycle": "in_service"},
                 {"instanceId": 7, "hostPort": "127.0.0.1:1", "lifecycle": "in_service"},
@@ -59,8 +59,7 @@
             ]
             entries[-1].update({"startedAtMs": 9e15, "weight": 1e300})
             text = json.dumps({"generation": 2, "reset": False, "instances": entries}).encode() + b"\n"
-            for writer in made.registry._watches:
-                writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+            made.registry.tell_raw(text)
             await until(lambda: "s1" in made.node.servers)
             assert sorted(made.node.servers) == ["s0", "s1"]
             assert len(made.registry.asked) == 1
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -97,9 +97,9 @@
 
 @asynccontextmanager
 async def running(path: Path, box: CacheBox) -> AsyncIterator[tuple[Process, Registry]]:
-    await box.start()
+    box.listen()
     registry = Registry({"s0": box})
-    await registry.start()
+    registry.start()
     process = Process(path, registry)
     process.write()
     await process.start()
@@ -138,14 +138,14 @@
         async with running(tmp_path / "config.json", box) as (process, registry):
             slow = asyncio.create_task(process.ask("slow", "/slow"))
             await until(lambda: len(held) == 1)
-            await fresh.start()
+            fresh.listen()
             moved = Registry({"s1": fresh})
-            await moved.start()
+            moved.start()
             process.config["discovery"] = f"127.0.0.1:{moved.port}"
             process.write()
             process.process.send_signal(signal.SIGHUP)
             await until(lambda: len(moved.asked) == 1)
-            assert b"after=" not in moved.asked[0]
+            assert "after=" not in moved.asked[0]
             await registry.stop()
             before, n = len(fresh.heads), 0
             while len(fresh.heads) == before:
@@ -178,20 +178,14 @@
     async def test() -> None:
         heads: list[bytes] = []
         release = asyncio.Event()
-        box = CacheBox(lambda head: heads.append(head) if b"/slow" in head else good(head))
-        serve = box._serve
 
-        async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            async def let_go() -> None:
+        async def script(head: bytes) -> bytes | None:
+            if b"/slow" in head:
+                heads.append(head)
                 await release.wait()
-                for head in heads:
-                    writer.write(good(head))
+            return good(head)
 
-            job = asyncio.create_task(let_go())
-            await serve(reader, writer)
-            job.cancel()
-
-        box._serve = hold  # type: ignore[method-assign]
+        box = CacheBox(script)
         async with running(tmp_path / "config.json", box) as (process, _):
             slow = asyncio.create_task(process.send(request("slow", path="/slow")))
             await until(lambda: len(heads) == 1)
