--- a/forkweir/fetches.py
+++ b/forkweir/fetches.py
@@ -10,13 +10,14 @@
 
 What a server served before it last started, and what a write has voided since, is not remembered.
 
-The fetches expected in flight are kept under a limit that adapts: it grows by 1 for a round of misses answered well within
-their aims (QUICK), and is cut by CUT, once in CUT_MS, by one that was slow (SLOW), failed, or timed out. Where the origin is
-well, the limit is never reached. Where it is jammed, what would not be answered in time is refused at once, and hits go on.
-Classes worth less leave RESERVE of the limit to those worth more.
-
-Bounds: KEYS entries, three floats. Steps: one answer moves a part by LEARN and the limit by one cut at the most, and the
-limit stays between LEAST and MOST.
+The budget presses while most fetches are slow: from the moment at which more than SLOW_MANY of them lately failed, timed out or
+took longer than SLOW of their aims, until fewer than SLOW_FEW do. Then the fetches expected in flight are kept under a limit. It
+begins at CUT of what was usually in flight, is cut again once in CUT_MS (as long as the answer to a cut may take to show)
+while it is as bad, and grows by GROW for a round of fetches answered in time. What is expected to hit goes on, what would not
+be answered in time is refused at once, and classes worth less leave RESERVE of the limit to those worth more.
+
+Bounds: KEYS entries and seven floats. Steps: one answer moves a part by LEARN, the judgement of the origin by SLOW_LEARN, and the
+limit by one cut at the most; it stays between LEAST (so that there are always fetches to learn from) and MOST.
 """
 
 from __future__ import annotations
@@ -29,17 +30,17 @@
 FIRST_UNKNOWN = 0.3  # of reads of keys of which nothing is remembered miss, until answers tell more,
 FIRST_KNOWN = 0.05  # and of the others
 PASS = 0.15  # a request expected to cost less is let in whatever is in flight
-SLOW = 0.8  # of the aim
-SLOW_LEARN = 0.05
-SLOW_MANY = 0.8
-SLOW_FEW = 0.6
-GROW = 2.0
+SLOW = 0.8  # a fetch that takes this part of its request's aim is slow
+SLOW_LEARN = 0.05  # weight of one fetch in the judgement of how many are
+SLOW_MANY = 0.8  # where the budget begins to press (docs/cold-and-full.md has what earlier marks cost),
+SLOW_FEW = 0.6  # and where it ends
+USUAL_LEARN = 0.01
+GROW = 2.0  # of the limit, for as many good fetches as it holds
 CUT = 0.8
 CUT_MS = 1_000.0
-LEAST = 4.0
-FIRST = 32.0
+LEAST = 4.0  # fetches in flight
 MOST = 256.0
-RESERVE = 0.3
+RESERVE = 0.3  # of the limit is left by a class worth nothing
 
 
 class Fetches:
@@ -48,11 +49,11 @@
     __slots__ = ("limit", "out", "known", "unknown", "slow", "usual", "pressed", "_cut_ms", "_most_worth", "_served")
 
     def __init__(self, most_worth: float) -> None:
-        self.limit = FIRST
+        self.limit = MOST  # in flight, while the budget presses
         self.out = 0.0  # expected in flight
         self.known = FIRST_KNOWN
         self.unknown = FIRST_UNKNOWN
-        self.usual = LEAST
+        self.usual = LEAST  # in flight, as a moving average over what goes out
         self.pressed = False
         self.slow = 0.0  # part of late fetches that were slow
         self._cut_ms = 0.0
@@ -75,7 +76,7 @@
     def pay(self, cost: float) -> None:
         """An attempt goes out."""
         self.out += cost
-        self.usual += 0.01 * (self.out - self.usual)
+        self.usual += USUAL_LEARN * (self.out - self.usual)
 
     def back(self, cost: float) -> None:
         """It has ended, in whatever way."""
--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -7,10 +7,13 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any, Optional
+from typing import TYPE_CHECKING, Any, Optional
 
 from testbed.script import BadScript, Script, parse_script, written
 
+if TYPE_CHECKING:
+    from testbed.simulation import Result
+
 
 def add_sim(commands: Any) -> None:
     """Add the command to a command line."""
@@ -85,11 +88,25 @@
         f"failed {figures.failed}, no answer {figures.unanswered}, left {figures.left}",
         file=out,
     )
+    print(_against_the_bound(result), file=out)
     for failure in result.failures:
         print(f"BROKEN {failure}", file=out)
     return 1 if result.failed else 0
 
 
+def _against_the_bound(result: Result) -> str:
+    """What was served in time beside the most that could have been (testbed/oracle.py)."""
+    from testbed.oracle import served_at_most
+
+    figures = result.figures
+    first = f"first asked {figures.first_tries}, served in time at last {figures.good_tries}"
+    try:
+        most = sum(served_at_most(result.demands, result.supply).values())
+    except ImportError:
+        return f"{first}; the most that could be: not known without scipy (requirements-dev.txt)"
+    return f"{first}, of {most:.0f} at most ({100.0 * figures.good_tries / max(1.0, most):.0f}%)"
+
+
 def _explore(args: argparse.Namespace) -> int:
     from testbed.explore import command_of, explore
 
--- a/testbed/clients.py
+++ b/testbed/clients.py
@@ -35,6 +35,7 @@
     window_ms: float
     share: float
     method: str
+    worth: float = 3.0
 
 
 CLASSES = (
@@ -56,7 +57,7 @@
                 "idempotency": c.repeat,
                 "group": "all" if c.repeat == "keyed" else "",
                 "windowMs": c.window_ms,
-                "worth": 3.0,
+                "worth": c.worth,
             }
             for c in CLASSES
         ],
@@ -127,6 +128,7 @@
     first_tries: int = 0
     good_tries: int = 0  # first tries that they or a retry served in time
     by_status: Counter[int] = field(default_factory=Counter)
+    good_by: Counter[str] = field(default_factory=Counter)  # good tries, by class
 
 
 class Clients:
@@ -146,6 +148,7 @@
         self.rate = rate
         self.left_share = 0.03
         self.most = 10_000  # requests out at once; beyond them clients wait to ask
+        self.wanted: Callable[[Class, str], None] = lambda kind, key: None  # told of each request that is first asked for
         self.down: Callable[[str], bool] = lambda node: False  # whether the front has noticed that a node is dead
         self._observer = observer
         self._random = random.Random(f"clients/{seed}")
@@ -203,6 +206,7 @@
         token = f"t{self._number}" if kind.repeat == "keyed" else ""
         body = rng.randbytes(rng.choice((0, 40, 400, 5_000))) if kind.method == "PUT" else b""
         self.figures.first_tries += 1
+        self.wanted(kind, key)
         begun = now_ms()
         for attempt in range(3):
             budget = kind.deadline_ms - (now_ms() - begun)
@@ -210,7 +214,9 @@
                 return
             status, wait_ms = await self._ask(kind, key, token, body, budget, attempt > 0)
             if status == 200:
-                self.figures.good_tries += now_ms() - begun <= kind.aim_ms
+                good = now_ms() - begun <= kind.aim_ms
+                self.figures.good_tries += good
+                self.figures.good_by[kind.name] += good
                 return
             again = status in (429, 503) or (status != -2 and kind.repeat != "unsafe") or status == -3
             if not again or rng.random() < 0.3:
--- /dev/null
+++ b/testbed/oracle.py
@@ -0,0 +1,98 @@
+"""An upper bound for a night: what a scheduler that knows everything could have served in time.
+
+A fluid linear program over slices of SLICE_MS. Each request that a client first asks for may be worked on, in any parts, in
+the slices that its wanted time touches, by boxes that are taken together as one machine of their summed capacity (cold,
+slow, hanging, dead and draining ones as they were), and each write needs a place of the order book. What it leaves out makes
+the bound higher and never lower: fetches of reads, queues, the way of keys to boxes, nodes that are down, the network.
+
+scipy (HiGHS) solves it; it is among the development requirements and imported only here.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+SLICE_MS = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """One request that a client first asked for."""
+
+    at_ms: float  # of virtual time
+    lane: str
+    work_ms: float
+    aim_ms: float
+    worth: float
+    write: bool
+
+
+@dataclass(slots=True)
+class Supply:
+    """What the boxes and the order book could do, sampled as the night goes."""
+
+    work: list[float] = field(default_factory=list)  # by slice: ms of work in a ms, summed over samples,
+    fetches: list[float] = field(default_factory=list)  # places of the order book a ms, likewise,
+    samples: list[int] = field(default_factory=list)  # and how many there were
+
+    def note(self, at_ms: float, work: float, fetches: float) -> None:
+        """Add one sample."""
+        n = int(at_ms / SLICE_MS)
+        while len(self.samples) <= n:
+            self.work.append(0.0)
+            self.fetches.append(0.0)
+            self.samples.append(0)
+        self.work[n] += work
+        self.fetches[n] += fetches
+        self.samples[n] += 1
+
+    def of(self, n: int) -> tuple[float, float]:
+        """Work in ms, and writes, that fit into a slice; one without a sample is like the last before it."""
+        while n > 0 and (n >= len(self.samples) or not self.samples[n]):
+            n -= 1
+        if n >= len(self.samples) or not self.samples[n]:
+            return 0.0, 0.0
+        return SLICE_MS * self.work[n] / self.samples[n], SLICE_MS * self.fetches[n] / self.samples[n]
+
+
+def served_at_most(demands: list[Demand], supply: Supply) -> dict[str, float]:
+    """How many requests of each class an all-knowing scheduler serves in time where it maximises their worth.
+
+    ImportError where scipy is not installed; RuntimeError where the program can't be solved.
+    """
+    from scipy.optimize import linprog
+    from scipy.sparse import coo_array
+
+    if not demands:
+        return {}
+    spans = [(int(d.at_ms / SLICE_MS), int((d.at_ms + d.aim_ms) / SLICE_MS)) for d in demands]
+    slices = max(last for _, last in spans) + 1
+    rows: list[int] = []
+    columns: list[int] = []
+    values: list[float] = []
+    gains: list[float] = []
+    owner: list[int] = []
+    jobs = len(demands)
+    for n, (demand, (first, last)) in enumerate(zip(demands, spans, strict=True)):
+        for at in range(first, last + 1):
+            column = len(gains)
+            gains.append(-demand.worth)
+            owner.append(n)
+            rows += (n, jobs + at)
+            columns += (column, column)
+            values += (1.0, demand.work_ms)
+            if demand.write:
+                rows.append(jobs + slices + at)
+                columns.append(column)
+                values.append(1.0)
+    fits = [supply.of(at) for at in range(slices)]
+    limits = [1.0] * jobs + [work for work, _ in fits] + [writes for _, writes in fits]
+    matrix = coo_array((values, (rows, columns)), shape=(len(limits), len(gains))).tocsr()
+    solved = linprog(gains, A_ub=matrix, b_ub=limits, bounds=(0.0, 1.0), method="highs")
+    if solved.status != 0:
+        raise RuntimeError(f"the bound can't be found: {solved.message}")
+    served: dict[str, float] = {}
+    for column, part in enumerate(solved.x):
+        lane = demands[owner[column]].lane
+        served[lane] = served.get(lane, 0.0) + float(part)
+    return served
--- a/testbed/simulation.py
+++ b/testbed/simulation.py
@@ -16,20 +16,22 @@
 from corkshift import seam
 from corkshift.config import load
 from corkshift.service import Service
-from testbed.clients import RUDE, Ask, Clients, Figures, settings
+from testbed.clients import RUDE, Ask, Class, Clients, Figures, settings
 from testbed.loop import Deadlock, Livelock, VirtualLoop, owner_of
 from testbed.net import Network, Trip, VirtualSocket
+from testbed.oracle import Demand, Supply
 from testbed.process import EPOCH_MS, Process
 from testbed.rules import Failure, Rules
 from testbed.script import Fault, Script, draw
 from testbed.serving import Connection, Server
-from testbed.standins import SPOILS, BoxSpec, CacheBox, OrderBook, Registry
+from testbed.standins import SPOILS, BoxSpec, CacheBox, OrderBook, Registry, work_of
 
 SOON_S = 0.3  # after the last answer, before timers are counted (those of deadlines have not come due by then),
 QUIET_S = 2.7  # and before all books are read
 NOTICE_S = 0.9  # until discovery knows that a process has died,
 ADD_S = 0.5  # or that one has started
 FRONT_S = 0.8  # until the front knows that a node has died
+SAMPLE_US = 10_000  # between two looks at what boxes and order book can do, for the oracle
 NODE_PORT, BOX_PORT = 8000, 8001
 
 
@@ -46,6 +48,8 @@
     real_s: float
     figures: Figures
     steps: int
+    demands: list[Demand]  # with `supply` what the oracle (testbed/oracle.py) wants
+    supply: Supply
     lines: list[str] = field(default_factory=list)
 
     @property
@@ -110,7 +114,7 @@
         self.rules.steps = lambda: loop.steps
         self.net.on_send = self.rules.wire
         self.net.observers += [self.rules.socket, self._trace_socket]
-        loop.after_step = self.rules.after_step
+        loop.after_step = self._after_step
         self.processes: list[Process] = []
         self.nodes: dict[str, Process] = {}
         self.boxes: dict[int, CacheBox] = {}
@@ -130,10 +134,35 @@
             w.requests_per_s,
         )
         self.clients.down = self._noticed_down
+        self.clients.wanted = self._wanted
+        self.demands: list[Demand] = []
+        self.supply = Supply()
+        self._sample_us = 0
         self.front = self._process("clients", "127.5.0.1")
         self.book = OrderBook(("127.3.0.1", 8002), 8, 15.0)
         loop.set_exception_handler(self._exception)
 
+    # -- what the oracle is told ---------------------------------------------------------
+
+    def _wanted(self, kind: Class, key: str) -> None:
+        work, at_ms = work_of(key, kind.method), self.loop.now_us / 1000.0
+        self.demands.append(Demand(at_ms, kind.name, work, kind.aim_ms, kind.worth, kind.method == "PUT"))
+
+    def _after_step(self, process: Process) -> None:
+        self.rules.after_step(process)
+        if self.loop.now_us >= self._sample_us:
+            self._sample_us = self.loop.now_us + SAMPLE_US
+            self._sample()
+
+    def _sample(self) -> None:
+        work, now_ms = 0.0, EPOCH_MS + self.loop.now_us / 1000.0
+        for n, box in self.boxes.items():
+            there = self.box_processes[n].running and self.net.host(box.address[0]).up
+            if there and not (box.draining or box.full or box.hang is not None):
+                work += box.capacity_at(now_ms) * box.full_speed / box.slow
+        fetches = 0.0 if self.book.down else self.book.places / self.book.service_ms
+        self.supply.note(self.loop.now_us / 1000.0, work, fetches)
+
     # -- parts ---------------------------------------------------------------------------
 
     @staticmethod
@@ -617,5 +646,7 @@
         time.perf_counter() - began,
         world.clients.figures,
         loop.steps,
+        world.demands,
+        world.supply,
         world.trace.lines,
     )
--- a/testbed/standins.py
+++ b/testbed/standins.py
@@ -90,8 +90,12 @@
         return self._since_ms
 
     def capacity(self) -> float:
-        """The part of its full speed that it has now: it grows evenly from the cold share."""
-        age = now_ms() - self._since_ms
+        """The part of its full speed that it has now."""
+        return self.capacity_at(now_ms())
+
+    def capacity_at(self, at_ms: float) -> float:
+        """The part of its full speed that it has at a time: it grows evenly from the cold share."""
+        age = at_ms - self._since_ms
         if not self._since_ms or age >= self.spec.cold_ms:
             return 1.0
         return self.spec.cold_from + (1.0 - self.spec.cold_from) * age / self.spec.cold_ms
--- /dev/null
+++ b/tests/testbed/test_oracle.py
@@ -0,0 +1,47 @@
+"""The upper bound of a night, on nights whose bound is known."""
+
+from __future__ import annotations
+
+import pytest
+
+from testbed.oracle import SLICE_MS, Demand, Supply, served_at_most
+from testbed.script import Fault, Script, World
+from testbed.simulation import run
+
+
+def steady(work: float, slices: int, fetches: float = 1.0) -> Supply:
+    supply = Supply()
+    for n in range(slices):
+        supply.note(n * SLICE_MS, work, fetches)
+    return supply
+
+
+def reads(count: int, worth: float = 3.0, lane: str = "read", write: bool = False) -> list[Demand]:
+    return [Demand(0.0, lane, 10.0, 199.0, worth, write) for _ in range(count)]
+
+
+def test_what_fits_is_all_served_and_what_does_not_is_cut_to_the_capacity() -> None:
+    assert served_at_most(reads(15), steady(1.0, 5)) == pytest.approx({"read": 15.0})
+    assert served_at_most(reads(100), steady(1.0, 5)) == pytest.approx({"read": 20.0})
+    assert served_at_most([], steady(1.0, 5)) == {}
+
+
+def test_what_is_worth_more_comes_first_and_writes_need_places_of_the_order_book() -> None:
+    served = served_at_most(reads(50) + reads(50, 8.0, "order", True), steady(1.0, 5, 0.05))
+    assert served == pytest.approx({"order": 10.0, "read": 10.0})
+
+
+def test_a_slice_without_a_sample_is_like_the_one_before() -> None:
+    supply = steady(2.0, 1)
+    assert supply.of(7) == (200.0, 100.0) and Supply().of(3) == (0.0, 0.0)
+
+
+def test_no_night_serves_more_than_its_bound_and_a_calm_one_serves_nearly_that() -> None:
+    calm = run(3, Script(world=World(seconds=2.0)))
+    most = sum(served_at_most(calm.demands, calm.supply).values())
+    assert most == pytest.approx(calm.figures.first_tries)
+    assert calm.figures.good_tries > 0.93 * most  # some clients leave
+    cold = [Fault(at_ms=300.0, kind="box_quick_restart", target=n) for n in range(2)]
+    hard = run(1, Script(world=World(seconds=4.0, nodes=1, boxes=2, cores=1, requests_per_s=150.0), fault=cold))
+    most = sum(served_at_most(hard.demands, hard.supply).values())
+    assert 0.3 * most < hard.figures.good_tries < most < 0.6 * hard.figures.first_tries
