Operators' address with health, figures and drain; upgrades on the platform's socket

Change: corkshift/admin (calls sans-I/O, server, status), corkshift/figures.py (integers in slots), forkweir/duty.py (pure: who may stay while a node drains), corkshift/listener.py (accepting, taken out of the frontend and used by both addresses), PROXY_SOCKET_FD. An address that can't be had is named in the one line at the start.

--- a/corkshift/__main__.py
+++ b/corkshift/__main__.py
@@ -35,7 +35,7 @@
     try:
         process.play(run(config))
     except OSError as error:
-        print(f"corkshift: cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}", file=sys.stderr)
+        print(f"corkshift: cannot listen: {error.strerror or error}", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/corkshift/admin/status.py
@@ -0,0 +1,50 @@
+"""What the node tells of itself: the figures as lines `name=value`, and the calls that change its duty."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from corkshift.discovery import Discovery
+from corkshift.figures import KINDS, Figures
+from corkshift.frontend import Frontend
+from corkshift.node import Node
+from corkshift.seam import now_ms
+
+PREFIX = "svc"
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """A node as operators see it. Everything is read when it is asked for."""
+
+    node: Node
+    frontend: Frontend
+    discovery: Discovery
+    figures: Figures
+
+    def can_serve(self) -> bool:
+        """Whether this process has begun to serve: it accepts, and has known of a cache server."""
+        return self.frontend.started and self.node.informed
+
+    def quiesce(self) -> bool:
+        """Drain; whether that is so now."""
+        return self.frontend.duty.quiesce(now_ms())
+
+    def resume(self) -> bool:
+        """Back to work; whether that is so now."""
+        return self.frontend.duty.resume(now_ms())
+
+    def lines(self) -> str:
+        """The figures, one a line: requests by class and kind, attempts, what is open now, the servers listed and avoided."""
+        rows = [
+            f"{PREFIX}.responses.{lane}.{kind}={count}"
+            for lane, counts in self.figures.answers.items()
+            for kind, count in zip(KINDS, counts, strict=True)
+        ]
+        rows += [
+            f"{PREFIX}.tries={self.figures.tries}",
+            f"{PREFIX}.active={self.node.open}",
+            f"{PREFIX}.pool_size={len(self.node.servers)}",
+            f"{PREFIX}.pool_ejected={self.node.avoided()}",
+        ]
+        return "\n".join(rows) + "\n"
--- a/corkshift/cli/nodefile.py
+++ b/corkshift/cli/nodefile.py
@@ -87,6 +87,7 @@
     """The whole file."""
 
     listen: str
+    admin_addr: Optional[str] = None
     discovery: Optional[str] = None
     name: str = "node"
     seed: int | str = 0
@@ -95,7 +96,7 @@
     settings: Options
 
     def contradictions(self) -> Iterator[Fault]:
-        for key, text in (("listen", self.listen), ("discovery", self.discovery)):
+        for key, text in (("listen", self.listen), ("admin_addr", self.admin_addr), ("discovery", self.discovery)):
             if text is not None:
                 try:
                     address_of(text)
@@ -108,3 +109,5 @@
                 yield Fault("seed", f"a number or hex digits, got {self.seed!r}")
         if self.listen == self.discovery:
             yield Fault("discovery", "is the address that the node itself listens on")
+        if self.listen == self.admin_addr:
+            yield Fault("admin_addr", "is the address where clients connect")
--- a/corkshift/config.py
+++ b/corkshift/config.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Optional
 
 import orjson
 
@@ -34,6 +34,8 @@
     dial_timeout_ms: float
     conn_idle_ms: float
     drain_grace_ms: float
+    admin: Optional[Address] = None  # the operators' address; none: off
+    socket_fd: Optional[int] = None  # of the clients' listening socket, where the platform holds it
 
 
 def address_of(text: str) -> Address:
@@ -68,6 +70,8 @@
     limits = data.get("limits") or {}
     seed = data.get("seed", 0)
     known = data.get("known") or {}
+    admin = environ.get("PROXY_ADMIN_ADDR") or data.get("admin_addr")
+    descriptor = environ.get("PROXY_SOCKET_FD")
     if not isinstance(known, dict):
         raise TypeError("known is not an object")
     return Config(
@@ -84,4 +88,13 @@
         dial_timeout_ms=float(allowed.get("dialTimeoutMs") or 250.0),
         conn_idle_ms=float(allowed.get("connIdleMs") or 15_000.0),
         drain_grace_ms=float(contract.get("stopSendingWithinMs") or 250.0),
+        admin=address_of(admin) if admin else None,
+        socket_fd=_descriptor(descriptor) if descriptor else None,
     )
+
+
+def _descriptor(text: str) -> int:
+    """The number of an inherited descriptor (0 to 2 are the standard streams)."""
+    if not (text.isascii() and text.isdigit() and 2 < int(text) < 1 << 20):
+        raise ValueError(f"PROXY_SOCKET_FD is not a descriptor: {text!r}")
+    return int(text)
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -7,16 +7,18 @@
 import re
 from collections.abc import Callable
 from http import HTTPStatus
+from math import ceil
 from typing import Optional
 
 import h11
 
-from corkshift import seam
 from corkshift.budget import LONGEST, PIECES, BodyBudget
+from corkshift.listener import BACKLOG, Listener
 from corkshift.messages import Answer, Call
 from corkshift.node import Node
 from corkshift.seam import Address, Socket, now_ms
-from corkshift.stream import CHUNK, KERNEL_BUFFER, Stream
+from corkshift.stream import CHUNK, Stream
+from forkweir.duty import ENDING, Duty
 
 log = logging.getLogger(__name__)
 
@@ -29,9 +31,6 @@
 REST_SHARE = 1 / 3  # of the places for clients may be held by connections on which nothing more is asked
 SWEEP_S = 0.2  # between two looks at who has had its time
 SHY_MS = 100.0  # where room is short, a new connection that has sent nothing for this long makes way
-BACKLOG = 4096
-ACCEPTS = 64  # in one turn of the loop
-RETRY_S = 0.05  # until accepting is tried again where room is short
 DRAIN_S = 0.65  # after SIGTERM connections and requests are taken for this long
 EXIT_S = 3.55  # and by then the process has ended
 
@@ -212,7 +211,7 @@
             raise
         if call is None:
             budget.give(held)
-            return _done(Answer(200, b"ok\n"))
+            return _done(Answer(200, b"ok\n") if self._frontend.duty.welcome else Answer(503, b"draining\n"))
         if self._frontend.node.used(call.txn):
             budget.give(held)
             raise Rejected(409)
@@ -245,7 +244,7 @@
 
     async def _send(self, parser: h11.Connection, answer: Answer) -> bool:
         """Write one answer; whether the connection goes on after it."""
-        last = self._frontend.draining and self._pending == 1 and not self.partial and not self._stream.has_input
+        last = not self._frontend.duty.lasting and self._pending == 1 and not self.partial and not self._stream.has_input
         keep = parser.their_state is h11.DONE and answer.status in KEPT and not last
         data = _head_of(answer, keep) + answer.body
         try:
@@ -263,42 +262,45 @@
 class Frontend:
     """All client connections, within one budget of sockets."""
 
-    def __init__(self, node: Node, address: Address, limit: int, body_bytes: int) -> None:
+    def __init__(self, node: Node, listener: Socket, limit: int, body_bytes: int, shared: bool = False) -> None:
         self.node = node
         self.budget = BodyBudget(body_bytes)
-        self.draining = False
+        self.duty = Duty()
+        self.started = False
+        self._shared = shared
         self._limit = limit
         self._connections: dict[ClientConnection, None] = {}  # oldest first
         # Connections on which no request is open, longest wait first: nothing asked yet, a part of a request, nothing more asked.
         self._silent: dict[ClientConnection, None] = {}
         self._partial: dict[ClientConnection, None] = {}
         self._resting: dict[ClientConnection, None] = {}
-        self._accepting = False
         self._empty = asyncio.Event()
-        self._listener = seam.listen(address, KERNEL_BUFFER)
+        self._listener = Listener(listener, self._has_room, self._take)
 
     @property
     def address(self) -> Address:
         """Where the node listens."""
-        host, port = self._listener.getsockname()
-        return host, port
+        return self._listener.address
 
     def start(self) -> None:
         """Listen."""
-        self._listener.listen(BACKLOG)
-        self._resume()
+        self._listener.start()
+        self.started = True
         self._sweep()
 
     async def drain(self) -> None:
         """Take what still comes for a while, finish what is held, and end."""
         loop = asyncio.get_running_loop()
         end = loop.time() + EXIT_S
-        self.draining = True
+        self.duty.end(now_ms())
+        if self._shared:
+            # What waits in the queue is the next process's to take.
+            self._listener.close()
         await asyncio.sleep(DRAIN_S)
-        # What the kernel has accepted may hold requests that count as taken.
-        self._accept()
-        self._pause()
-        self._listener.close()
+        if not self._shared:
+            # What the kernel has accepted may hold requests that count as taken.
+            self._listener.accept(BACKLOG)
+            self._listener.close()
         await asyncio.sleep(0.02)
         for connection in list(self._connections):
             connection.close_if_unread()
@@ -335,31 +337,16 @@
         self._connections.pop(connection, None)
         if not self._connections:
             self._empty.set()
-        self._resume()
+        self._listener.resume()
 
     # -- accepting -----------------------------------------------------------------------
 
-    def _accept(self) -> None:
-        for _ in range(BACKLOG if self.draining else ACCEPTS):
-            if len(self._connections) >= self._limit and not self._make_room():
-                self._wait()
-                return
-            try:
-                sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError):
-                return
-            except ConnectionError:
-                continue
-            except OSError as error:
-                log.warning("cannot accept: %s", error)
-                self._wait()
-                return
-            try:
-                connection = ClientConnection(self, sock)
-            except OSError:
-                sock.close()  # reset before it was looked at
-                continue
-            self._connections[connection] = self._silent[connection] = None
+    def _has_room(self) -> bool:
+        return len(self._connections) < self._limit or self._make_room()
+
+    def _take(self, sock: Socket) -> None:
+        connection = ClientConnection(self, sock)
+        self._connections[connection] = self._silent[connection] = None
 
     def _make_room(self) -> bool:
         """Close the connection that matters least, if any may be closed: what rests, or has had a while to say something."""
@@ -389,7 +376,7 @@
             if now - connection.since_ms > PART_MS:
                 del self._partial[connection]
                 connection.expire()
-        if not self.draining:
+        if self.duty.state != ENDING:
             asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
     def _thin(self, now: float) -> None:
@@ -404,20 +391,12 @@
             if now - connection.since_ms <= SHY_MS:
                 break
             connection.close_if_unread()
-
-    def _wait(self) -> None:
-        self._pause()
-        asyncio.get_running_loop().call_later(RETRY_S, self._resume)
-
-    def _resume(self) -> None:
-        if not self._accepting and self._listener.fileno() != -1:
-            self._accepting = True
-            asyncio.get_running_loop().add_reader(self._listener, self._accept)
-
-    def _pause(self) -> None:
-        if self._accepting:
-            self._accepting = False
-            asyncio.get_running_loop().remove_reader(self._listener)
+        if part := self.duty.due(now, SWEEP_S * 1000.0):
+            for connection in kept[: ceil(part * len(kept))]:
+                connection.close_if_unread()
+        if self.duty.shed(now):
+            for connection in [c for c in self._silent if now - c.since_ms > SHY_MS]:
+                connection.close_if_unread()
 
 
 def _head_of(answer: Answer, keep: bool) -> bytes:
--- /dev/null
+++ b/corkshift/listener.py
@@ -0,0 +1,79 @@
+"""Accepting connections: one listening socket, paused where there is no room, tried again where the system has none."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from corkshift.seam import Address, Socket
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 4096
+ACCEPTS = 64  # in one turn of the loop
+RETRY_S = 0.05  # until accepting is tried again where room is short
+
+
+class Listener:
+    """A listening socket on the running loop. `room` tells whether one more may come in, `take` gets its socket."""
+
+    def __init__(self, sock: Socket, room: Callable[[], bool], take: Callable[[Any], None]) -> None:
+        self._sock = sock
+        self._room = room
+        self._take = take
+        self._accepting = False
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self._sock.getsockname()
+        return host, port
+
+    def start(self) -> None:
+        """Listen and accept."""
+        self._sock.listen(BACKLOG)
+        self.resume()
+
+    def close(self) -> None:
+        """Accept nothing more. A socket that other processes hold too stays open with them, and so does its queue."""
+        self.pause()
+        self._sock.close()
+
+    def accept(self, most: int = ACCEPTS) -> None:
+        """Take in what waits, as far as there is room."""
+        for _ in range(most):
+            if not self._room():
+                self._wait()
+                return
+            try:
+                sock, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionError:
+                continue
+            except OSError as error:
+                log.warning("cannot accept: %s", error)
+                self._wait()
+                return
+            try:
+                self._take(sock)
+            except OSError:
+                sock.close()  # reset before it was looked at
+
+    def resume(self) -> None:
+        """Accept again, if it is open."""
+        if not self._accepting and self._sock.fileno() != -1:
+            self._accepting = True
+            asyncio.get_running_loop().add_reader(self._sock, self.accept)
+
+    def pause(self) -> None:
+        """Leave what comes in the socket's queue."""
+        if self._accepting:
+            self._accepting = False
+            asyncio.get_running_loop().remove_reader(self._sock)
+
+    def _wait(self) -> None:
+        self.pause()
+        asyncio.get_running_loop().call_later(RETRY_S, self.resume)
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -25,6 +25,8 @@
 
     def __init__(self, config: Config, pool: Pool, max_open: int) -> None:
         self._config = config
+        self.figures = pool.figures
+        self.informed = False  # whether a cache server has been known
         self._pool = pool
         self._max_open = max_open
         self._balancer = Balancer(config.settings, config.seed)
@@ -44,6 +46,15 @@
         """Whether as many requests are open as the node may hold."""
         return len(self._calls) >= self._max_open
 
+    @property
+    def open(self) -> int:
+        """How many requests have been taken and have no final answer yet."""
+        return len(self._calls)
+
+    def avoided(self) -> int:
+        """How many of the listed cache servers get nothing now because of how they did."""
+        return self._balancer.fleet.avoided(now_ms())
+
     # -- events --------------------------------------------------------------------------
 
     def knows(self, lane: str) -> bool:
@@ -91,6 +102,7 @@
 
     def on_list(self, form: str, entries: Iterable[Server]) -> None:
         """Discovery told of the cache servers, or failed to."""
+        self.informed = self.informed or bool(self.servers)
         self._decide(None, lambda: self._balancer.on_list(now_ms(), form, entries))
 
     def _overdue(self, call: Call) -> None:
@@ -133,6 +145,7 @@
     def _answer(self, call: Optional[Call], answer: Answer) -> None:
         """Give the final answer; the first one counts."""
         if call is not None and self._calls.pop(call.id, None) is not None:
+            self.figures.answered(call.lane, answer.status)
             if call.open:
                 call.answer.set_result(answer)
             self._close(call)
--- a/corkshift/seam/__init__.py
+++ b/corkshift/seam/__init__.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import socket
 import time
@@ -56,6 +57,10 @@
         """A new non-blocking UDP socket; OSError as above."""
         ...
 
+    def inherited(self, descriptor: int) -> Socket:
+        """The listening TCP socket that this process was started with; OSError where the descriptor is none."""
+        ...
+
     def read_file(self, path: str) -> bytes:
         """A file's content; OSError as `open` raises it."""
         ...
@@ -82,6 +87,15 @@
     def datagram(self) -> Socket:
         return socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
 
+    def inherited(self, descriptor: int) -> Socket:
+        sock = socket.socket(fileno=descriptor)
+        if sock.type != socket.SOCK_STREAM or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            sock.detach()
+            raise OSError(errno.EINVAL, f"descriptor {descriptor} is no listening TCP socket")
+        sock.setblocking(False)
+        sock.set_inheritable(False)
+        return sock
+
     def read_file(self, path: str) -> bytes:
         return Path(path).read_bytes()
 
@@ -135,9 +149,16 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound_buffers(sock, buffers)
         sock.bind(address)
-    except BaseException:
+    except OSError as error:
         sock.close()
-        raise
+        raise OSError(error.errno, f"{address[0]}:{address[1]}: {error.strerror}") from None
+    return sock
+
+
+def inherited(descriptor: int, buffers: int) -> Socket:
+    """The listening socket that the platform holds and this process was started with; as `listen` otherwise."""
+    sock = SIDE.get().inherited(descriptor)
+    bound_buffers(sock, buffers)
     return sock
 
 
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -5,14 +5,20 @@
 import asyncio
 import logging
 import signal
+from typing import TYPE_CHECKING, Optional
 
 from corkshift import seam
 from corkshift.config import BadConfig, Config, load
 from corkshift.discovery import Discovery
+from corkshift.figures import Figures
 from corkshift.frontend import Frontend
 from corkshift.node import Node
+from corkshift.stream import KERNEL_BUFFER
 from corkshift.upstream import Pool
 
+if TYPE_CHECKING:
+    from corkshift.admin import Admin
+
 log = logging.getLogger("corkshift")
 
 BODY_SHARE = (1 << 20) // 8  # bytes of request bodies for each megabyte of the memory limit
@@ -27,13 +33,31 @@
         sockets = max(16, config.sockets - min(24, config.sockets // 4))
         upstream = sockets * 7 // 16
         self.config = config
-        self.pool = Pool(upstream, config.dial_timeout_ms, config.conn_idle_ms)
+        self.figures = Figures(spec.name for spec in config.settings.classes)
+        self.pool = Pool(upstream, config.dial_timeout_ms, config.conn_idle_ms, self.figures)
         self.node = Node(config, self.pool, min(config.max_open, upstream))
-        self.frontend = Frontend(self.node, config.listen, sockets - upstream, config.memory_mb * BODY_SHARE)
+        self.frontend = Frontend(self.node, self._listener(), sockets - upstream, config.memory_mb * BODY_SHARE, self._shared)
         self.discovery = Discovery(self.node, self.pool, config.discovery)
         self.node.follow = self.discovery.follow
+        self.admin: Optional[Admin] = None
+        if config.admin is not None:
+            # Only where there is an address: what is off costs nothing.
+            from corkshift.admin import Admin, Status
+
+            self.admin = Admin(Status(self.node, self.frontend, self.discovery, self.figures), config.admin)
         self._stop = asyncio.Event()
 
+    @property
+    def _shared(self) -> bool:
+        """Whether other processes may hold the clients' listening socket too."""
+        return self.config.socket_fd is not None
+
+    def _listener(self) -> seam.Socket:
+        """The clients' listening socket: the platform's, or one of our own. OSError where there is none to be had."""
+        if self.config.socket_fd is not None:
+            return seam.inherited(self.config.socket_fd, KERNEL_BUFFER)
+        return seam.listen(self.config.listen, KERNEL_BUFFER)
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
         loop = asyncio.get_running_loop()
@@ -42,8 +66,12 @@
             loop.add_signal_handler(number, self.stop)
         self.discovery.start(self.config.known)
         self.frontend.start()
+        if self.admin is not None:
+            self.admin.start()
         await self._stop.wait()
         await self.frontend.drain()
+        if self.admin is not None:
+            self.admin.close()
 
     def stop(self) -> None:
         """Begin the drain."""
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -12,6 +12,7 @@
 
 from corkshift import seam
 from corkshift.budget import LONGEST, PIECES
+from corkshift.figures import Figures
 from corkshift.messages import Call
 from corkshift.seam import Address, now_ms
 from corkshift.stream import CHUNK, KERNEL_BUFFER, Stream
@@ -55,8 +56,9 @@
 class Pool:
     """Connections to all cache servers within one budget of sockets."""
 
-    def __init__(self, limit: int, dial_timeout_ms: float, conn_idle_ms: float) -> None:
+    def __init__(self, limit: int, dial_timeout_ms: float, conn_idle_ms: float, figures: Figures) -> None:
         self._limit = limit
+        self.figures = figures
         self._dial_s = dial_timeout_ms / 1000.0
         self._idle_ms = conn_idle_ms * IDLE_SHARE
         self._open = 0
@@ -232,6 +234,7 @@
         if not await stream.write(pieces[-1], until_input=len(pieces) > 1):
             return False
         self._written = True
+        self._pool.figures.tries += 1
         return True
 
     async def _receive(self, early: bool) -> Outcome:
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -323,6 +323,10 @@
         """Whether an attempt may go to a server at all."""
         return member.present and member.out_until <= now and self.cut_until.get(member.info.zone, 0.0) <= now
 
+    def avoided(self, now: float) -> int:
+        """How many servers of the list get nothing now because of how they did."""
+        return sum(member.present and not self.usable(member, now) for member in self.members.values())
+
     def quickness(self, member: Member) -> float:
         """Hinted work done in a millisecond by servers of this one's kind, 0 while unknown."""
         work, took = self.served.get(member.info.kind, (0.0, 0.0))
--- a/testbed/defects.py
+++ b/testbed/defects.py
@@ -7,7 +7,7 @@
 from contextlib import contextmanager
 from typing import Any
 
-from corkshift import upstream
+from corkshift import seam, upstream
 from corkshift.budget import BodyBudget
 from corkshift.discovery import Discovery
 from corkshift.frontend import ClientConnection, Frontend
@@ -192,8 +192,7 @@
 @defect("a planned restart ends connections at once")
 def drops_what_is_held_at_a_drain() -> list[Patch]:
     async def drain(self: Any) -> None:
-        self.draining = True
-        self._pause()
+        self.duty.end(seam.now_ms())
         self._listener.close()
         for connection in list(self._connections):
             connection.abort()
--- a/testbed/process.py
+++ b/testbed/process.py
@@ -54,6 +54,9 @@
     def datagram(self) -> VirtualSocket:
         return self._socket("datagram")
 
+    def inherited(self, descriptor: int) -> VirtualSocket:
+        raise failure(errno.EBADF)  # no virtual process is started with one
+
     def read_file(self, path: str) -> bytes:
         if path not in self.files:
             raise failure(errno.ENOENT)
--- /dev/null
+++ b/tests/admin/test_admin.py
@@ -0,0 +1,204 @@
+"""The operators' address over loopback: its calls, its figures, and callers that mean no good or nothing."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from loopback import CacheBox, Rig, good, play, request, rig, status, until
+
+from corkshift.admin import Admin, Status
+from corkshift.admin.server import MOST
+from forkweir.duty import SHED_MS
+
+
+class Desk:
+    """A node with its operators' address."""
+
+    def __init__(self, node: Rig) -> None:
+        self.rig = node
+        self.admin = Admin(Status(node.node, node.frontend, node.discovery, node.figures), ("127.0.0.1", 0))
+        self.admin.start()
+
+    async def send(self, data: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection(*self.admin.address)
+        try:
+            writer.write(data)
+            return await reader.read()
+        except ConnectionError:
+            return b""
+        finally:
+            writer.transport.abort()
+
+    async def call(self, path: str, method: str = "GET") -> int:
+        return status(await self.send(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()))
+
+    async def figures(self) -> dict[str, int]:
+        answer = await self.send(b"GET /admin/stats HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert status(answer) == 200
+        pairs = (line.split("=") for line in answer.partition(b"\r\n\r\n")[2].decode().splitlines())
+        return {name: int(value) for name, value in pairs}
+
+
+@asynccontextmanager
+async def desk(boxes: dict[str, CacheBox], sockets: int = 64) -> AsyncIterator[Desk]:
+    async with rig(boxes, sockets) as node:
+        made = Desk(node)
+        try:
+            yield made
+        finally:
+            made.admin.close()
+
+
+def test_the_figures_count_answers_by_kind_and_attempts() -> None:
+    async def test() -> None:
+        def script(head: bytes) -> bytes:
+            if b"/bad" in head:
+                return b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+            if b"/full" in head:
+                return b"HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+            return good(head)
+
+        async with desk({"s1": CacheBox(script)}) as made:
+            for n in range(3):
+                assert status(await made.rig.ask(f"ok-{n}")) == 200
+            assert status(await made.rig.ask("bad", path="/api/bad", lane="order")) == 502
+            assert status(await made.rig.ask("full", path="/api/full", lane="order")) == 503
+            seen = await made.figures()
+            assert (seen["svc.responses.read.ok"], seen["svc.responses.read.shed"], seen["svc.responses.read.errors"]) == (3, 0, 0)
+            assert (seen["svc.responses.order.ok"], seen["svc.responses.order.shed"], seen["svc.responses.order.errors"]) == (0, 1, 1)
+            assert seen["svc.tries"] == len(made.rig.boxes["s1"].heads)
+            assert (seen["svc.active"], seen["svc.pool_size"], seen["svc.pool_ejected"]) == (0, 1, 0)
+
+    play(test)
+
+
+def test_the_figures_tell_what_is_open_and_which_servers_are_avoided() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def slow(head: bytes) -> bytes:
+            await release.wait()
+            return good(head)
+
+        box, dead = CacheBox(slow), CacheBox()
+        async with desk({"s1": box, "s2": dead}) as made:
+            asks = [asyncio.create_task(made.rig.ask(f"t{n}", path=f"/api/k{n}", lane="order")) for n in range(8)]
+            await until(lambda: made.rig.node.open + sum(ask.done() for ask in asks) == 8 and len(box.heads) > 0)
+            assert (await made.figures())["svc.active"] == made.rig.node.open > 0
+            release.set()
+            await asyncio.gather(*asks)
+            dead.close()  # its address refuses now: soon it is avoided
+            n = 0
+            while (await made.figures())["svc.pool_ejected"] == 0:
+                n += 1
+                await made.rig.ask(f"again-{n}", path=f"/api/j{n}")
+            seen = await made.figures()
+            assert (seen["svc.pool_size"], seen["svc.pool_ejected"], seen["svc.active"]) == (2, 1, 0)
+
+    play(test)
+
+
+def test_health_says_no_until_a_cache_server_is_known() -> None:
+    async def test() -> None:
+        async with desk({}) as made:
+            assert await made.call("/admin/health") == 503
+        async with desk({"s1": CacheBox()}) as made:
+            assert await made.call("/admin/health") == 200
+
+    play(test)
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"GET /admin/nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"GET /admin/quiesce HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+        (b"PUT /admin/stats HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
+        (b"GET /admin/stats HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 20_000, 431),
+        (b"PUT /admin/quiesce HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + b"z" * 70_000, 413),
+        (b"PUT /admin/quiesce HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nno\r\n", 400),
+    ],
+)
+def test_what_is_no_call_gets_its_error_and_changes_nothing(data: bytes, expected: int) -> None:
+    async def test() -> None:
+        async with desk({"s1": CacheBox()}) as made:
+            assert status(await made.send(data)) == expected
+            assert made.rig.frontend.duty.welcome
+            assert await made.call("/admin/health") == 200
+
+    play(test)
+
+
+def test_a_caller_that_sends_its_call_with_a_body_is_answered() -> None:
+    async def test() -> None:
+        async with desk({"s1": CacheBox()}) as made:
+            head = b"PUT /admin/quiesce HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+            reader, writer = await asyncio.open_connection(*made.admin.address)
+            writer.write(head)
+            assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(b"{}")
+            assert status(await reader.read()) == 200 and not made.rig.frontend.duty.welcome
+            writer.transport.abort()
+
+    play(test)
+
+
+def test_callers_that_say_nothing_shut_nobody_out() -> None:
+    # Guards against an operators' address that a few idle connections take out of use.
+    async def test() -> None:
+        async with desk({"s1": CacheBox()}) as made:
+            silent = [await asyncio.open_connection(*made.admin.address) for _ in range(3 * MOST)]
+            assert await made.call("/admin/health") == 200
+            for _, writer in silent:
+                writer.transport.abort()
+
+    play(test)
+
+
+def test_a_drain_ends_every_connection_within_two_seconds_and_resume_takes_clients_again() -> None:
+    # Guards against a client left on a node that is about to be worked on, and one cut off in its request.
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def script(head: bytes) -> bytes:
+            if b"/slow" in head:
+                await release.wait()
+            return good(head)
+
+        async with desk({"s1": CacheBox(script)}) as made:
+            loop, node = asyncio.get_running_loop(), made.rig
+            idle = [await asyncio.open_connection("127.0.0.1", node.port) for _ in range(6)]
+            for n, (reader, writer) in enumerate(idle):
+                writer.write(request(f"idle-{n}"))
+                await reader.readuntil(b"\r\n\r\n")
+            busy_reader, busy = await asyncio.open_connection("127.0.0.1", node.port)
+            busy.write(request("busy", path="/slow"))
+            await until(lambda: node.node.open == 1)
+            assert await made.call("/admin/quiesce", "PUT") == 200
+            began = loop.time()
+            assert status(await node.send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")) == 503
+            late = await node.send(request("late"))  # dealt out just before: served, and told that the connection ends
+            assert status(late) == 200 and b"connection: close" in late.lower()
+            ends = []
+            for reader, _ in idle:
+                await reader.read()
+                ends.append(loop.time() - began)
+            assert ends[-1] < SHED_MS / 1000.0 + 0.2 and ends[0] < ends[-1] - 0.5  # spread, not at once
+            release.set()
+            answer = await busy_reader.read()
+            assert status(answer) == 200 and b"connection: close" in answer.lower()
+            assert await made.call("/admin/resume", "PUT") == 200
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
+            for n in range(2):  # kept, as before
+                writer.write(request(f"back-{n}"))
+                assert b"close" not in (await reader.readuntil(b"\r\n\r\n")).lower()
+                await reader.read(1 << 16)
+            for _, each in (*idle, (reader, writer)):
+                each.transport.abort()
+            busy.transport.abort()
+
+    play(test)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,10 +7,13 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+from corkshift import seam
 from corkshift.config import Config
 from corkshift.discovery import Discovery
+from corkshift.figures import Figures
 from corkshift.frontend import Frontend
 from corkshift.node import Node
+from corkshift.stream import KERNEL_BUFFER
 from corkshift.upstream import Pool
 from forkweir.adapter import settings_of
 from testbed import standins
@@ -101,9 +104,10 @@
         )
         self.boxes = boxes
         self.registry = registry
-        self.pool = Pool(sockets // 2, config.dial_timeout_ms, config.conn_idle_ms)
+        self.figures = Figures(spec.name for spec in config.settings.classes)
+        self.pool = Pool(sockets // 2, config.dial_timeout_ms, config.conn_idle_ms, self.figures)
         self.node = Node(config, self.pool, sockets)
-        self.frontend = Frontend(self.node, config.listen, sockets // 2, 1 << 20)
+        self.frontend = Frontend(self.node, seam.listen(config.listen, KERNEL_BUFFER), sockets // 2, 1 << 20)
         self.discovery = Discovery(self.node, self.pool, config.discovery)
         self.node.follow = self.discovery.follow
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -45,13 +45,15 @@
 class Process:
     """A node started as `run` starts it."""
 
-    def __init__(self, path: Path, registry: Registry) -> None:
+    def __init__(self, path: Path, registry: Registry | None, port: int = 0) -> None:
         self.path = path
-        self.port = free_port()
+        self.port = port or free_port()
+        self.more: dict[str, str] = {}  # of the environment
+        self.descriptors: tuple[int, ...] = ()  # that it inherits
         self.config: dict[str, Any] = {
             "name": "n0",
             "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{registry.port}",
+            "discovery": f"127.0.0.1:{registry.port if registry else 1}",
             "seed": "1",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 128},
             "known": {"generation": 0, "reset": True, "instances": []},
@@ -63,9 +65,9 @@
         self.path.write_text(json.dumps(self.config))
 
     async def start(self) -> None:
-        environ = {**os.environ, "PROXY_CONFIG": str(self.path), "PROXY_DISCOVERY": self.config["discovery"]}
+        environ = {**os.environ, "PROXY_CONFIG": str(self.path), "PROXY_DISCOVERY": self.config["discovery"], **self.more}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "corkshift", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
+            sys.executable, "-m", "corkshift", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE, pass_fds=self.descriptors
         )
         self.reading = asyncio.create_task(self._read_log())
 
@@ -96,11 +98,14 @@
 
 
 @asynccontextmanager
-async def running(path: Path, box: CacheBox) -> AsyncIterator[tuple[Process, Registry]]:
+async def running(
+    path: Path, box: CacheBox, more: dict[str, str] | None = None, descriptors: tuple[int, ...] = (), port: int = 0
+) -> AsyncIterator[tuple[Process, Registry]]:
     box.listen()
     registry = Registry({"s0": box})
     registry.start()
-    process = Process(path, registry)
+    process = Process(path, registry, port)
+    process.more, process.descriptors = more or {}, descriptors
     process.write()
     await process.start()
     try:
--- a/tests/testbed/test_hard_cases.py
+++ b/tests/testbed/test_hard_cases.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from corkshift.figures import Figures
 from corkshift.messages import Call
 from corkshift.upstream import Attempt, CacheServer, Outcome, Pool
 from testbed.loop import Deadlock, Livelock, VirtualLoop
@@ -117,7 +118,7 @@
     pool: list[Pool] = []
 
     async def program() -> None:
-        pool.append(Pool(8, 250.0, 10_000.0))
+        pool.append(Pool(8, 250.0, 10_000.0, Figures([])))
         call = Call(b"GET", b"/api/k", b"t", None, "read", "", "k", None, 0.0, False)
         attempt = Attempt(pool[0], CacheServer("box", (BOX, 8001)), call, within_ms, lambda: True)
         outcomes.append(await asyncio.get_running_loop().create_task(attempt.run()))
@@ -158,7 +159,7 @@
     seen: list[object] = []
 
     async def program() -> None:
-        pool, server = Pool(8, 250.0, 10_000.0), CacheServer("box", (BOX, 8001))
+        pool, server = Pool(8, 250.0, 10_000.0, Figures([])), CacheServer("box", (BOX, 8001))
         call = Call(b"GET", b"/api/k", b"t", None, "read", "", "k", None, 0.0, False)
         attempt = Attempt(pool, server, call, 100.0, lambda: True)
         seen.append((await attempt.run()).status)
