Bodies from 64 KiB to 32 MiB are streamed both ways, with back-pressure

Need: answers beyond 64 KiB passed for spoilt and were asked for again, larger bodies were refused, and clients that send slowly were cut off 2.4 s after the first byte of their head.

Head and body each have a time of their own. Targets in absolute form are taken.

--- a/corkshift/budget.py
+++ b/corkshift/budget.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
-LONGEST = 65_536  # bytes of the longest body, in either direction,
-PIECES = 1_024  # and the pieces it may come in (guards against one-byte chunks, each of which costs a turn of the parser)
+LONGEST = 65_536  # bytes of the longest body that is held whole, in either direction,
+PIECES = 1_024  # and the pieces it may come in, unless they are of a fair size
+FAIR_PIECE = 16  # bytes, on average (guards against one-byte chunks, each of which costs a turn of the parser)
+BULK = 1 << 25  # bytes of the longest body that is passed on in pieces
+
+
+def crumbs(pieces: int, size: int) -> bool:
+    """Whether a body of so many bytes comes in too small pieces."""
+    return pieces > PIECES and pieces * FAIR_PIECE > size
 
 
 class BodyBudget:
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -12,10 +12,11 @@
 
 import h11
 
-from corkshift.budget import LONGEST, PIECES, BodyBudget
+from corkshift.budget import BULK, LONGEST, BodyBudget, crumbs
 from corkshift.listener import BACKLOG, Listener
 from corkshift.messages import Answer, Call
 from corkshift.node import Node
+from corkshift.relay import Broken, Relay
 from corkshift.seam import Address, Socket, now_ms
 from corkshift.stream import CHUNK, Stream
 from forkweir.duty import ENDING, Duty
@@ -26,7 +27,8 @@
 PIPELINE = 4  # requests written ahead on one connection that are worked on at once
 WRITE_STALL_S = 5.0  # a client that takes nothing of its answer for this long is given up
 SILENT_MS = 2_000.0  # a new connection that has sent nothing for this long is closed,
-PART_MS = 2_400.0  # one whose request is not whole by then is answered 408 (the first one's time runs from connecting),
+PART_MS = 2_400.0  # one whose head is not whole by then is answered 408 (the first one's time runs from connecting),
+PROGRESS = 16_384  # or whose body does not bring so many bytes in this time,
 IDLE_MS = 10_000.0  # and one on which nothing more is asked for this long is closed
 REST_SHARE = 1 / 3  # of the places for clients may be held by connections on which nothing more is asked
 SWEEP_S = 0.2  # between two looks at who has had its time
@@ -61,6 +63,7 @@
         self._queue: asyncio.Queue[Optional[tuple[h11.Connection, asyncio.Future[Answer]]]] = asyncio.Queue(PIPELINE)
         self._calls: dict[asyncio.Future[Answer], Call] = {}
         self._pending = 0
+        self._pumping: Optional[h11.Connection] = None  # a request whose body is still being handed on, or read past
         self._stream = Stream(sock)
         self._stream.notice = self._noticed
         self._task = asyncio.create_task(self._serve())
@@ -68,11 +71,11 @@
     @property
     def resting(self) -> bool:
         """Whether nothing is asked, begun or owed here."""
-        return not (self._pending or self.partial or self._stream.has_input)
+        return not (self._pending or self.partial or self._pumping or self._stream.has_input)
 
     def close_if_unread(self) -> bool:
         """Close between requests, unless one has come meanwhile."""
-        if not self.over and (self._pending or not (self.partial or self._stream.quiet)):
+        if not self.over and (self._pending or self._pumping or not (self.partial or self._stream.quiet)):
             return False
         self._stream.close()
         self._task.cancel()
@@ -136,19 +139,11 @@
         try:
             while True:
                 parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
-                future = await self._read_request(parser, ahead)
-                if future is None:
-                    break
-                await self._enqueue(parser, future)
-                if parser.their_state is h11.MUST_CLOSE:
+                if not await self._read_request(parser, ahead) or parser.their_state is h11.MUST_CLOSE:
                     break
                 ahead = parser.trailing_data[0]
-        except Rejected as rejected:
-            status = rejected.status
-        except h11.RemoteProtocolError as error:
-            status = error.error_status_hint
-        except TimeoutError:
-            status = 408
+        except (Rejected, h11.RemoteProtocolError, TimeoutError) as error:
+            status = _status_of(error)
         except OSError:
             pass
         except Exception:
@@ -164,8 +159,8 @@
         self._frontend.works(self)
         await self._queue.put((parser, future))
 
-    async def _read_request(self, parser: h11.Connection, ahead: bytes) -> Optional[asyncio.Future[Answer]]:
-        """Read one request and hand it on; None at the client's end."""
+    async def _read_request(self, parser: h11.Connection, ahead: bytes) -> bool:
+        """Read one request and hand it on; whether another one may follow."""
         while True:
             # Empty lines before a request are allowed.
             ahead = ahead.lstrip(b"\r\n") if not self.partial else ahead
@@ -182,28 +177,36 @@
             self._rest()
             ahead = await self._stream.read()
             if not ahead:
-                return None
+                return False
         assert isinstance(event, h11.Request)
         _check_framing(event)
         return await self._read_body(parser, event)
 
-    async def _read_body(self, parser: h11.Connection, request: h11.Request) -> asyncio.Future[Answer]:
-        call = _call_of(request, self._frontend.node.knows) if request.target != b"/up" else None
+    async def _read_body(self, parser: h11.Connection, request: h11.Request) -> bool:
+        call = _call_of(request, self._frontend.node.knows) if _origin_form(request.target) != b"/up" else None
         if call is None and request.method != b"GET":
             raise Rejected(405)
+        self.since_ms = now_ms()  # the body has a time of its own
         budget, held = self._frontend.budget, 0
         try:
-            pieces = 0
+            pieces, marked, rest = 0, 0, b""
             while not isinstance(event := await self._event(parser), h11.EndOfMessage):
                 pieces += 1
-                if not isinstance(event, h11.Data) or pieces > PIECES:
+                if not isinstance(event, h11.Data) or crumbs(pieces, held):
                     raise Rejected(400)
                 more = len(event.data)
                 if held + more > LONGEST:
-                    raise Rejected(413)
+                    if call is None or call.method != b"PUT":
+                        raise Rejected(413)
+                    rest = bytes(event.data)
+                    break
                 if not budget.take(more):
+                    if call is not None:
+                        self._frontend.node.figures.answered(call.lane, 503)
                     raise Rejected(503)
                 held += more
+                if held - marked >= PROGRESS:
+                    marked, self.since_ms = held, now_ms()
                 if call is not None:
                     _append(call.body, event.data)
         except BaseException:
@@ -211,12 +214,22 @@
             raise
         if call is None:
             budget.give(held)
-            return _done(Answer(200, b"ok\n") if self._frontend.duty.welcome else Answer(503, b"draining\n"))
+            await self._enqueue(parser, _done(Answer(200, b"ok\n") if self._frontend.duty.welcome else Answer(503, b"draining\n")))
+        elif rest:
+            return await self._pump(parser, call, held, rest)
+        else:
+            await self._enqueue(parser, self._admit(call, held))
+        return True
+
+    def _admit(self, call: Call, held: int) -> asyncio.Future[Answer]:
+        """Hand a request on, of whose body so many bytes are held; what answers it."""
+        budget = self._frontend.budget
         if self._frontend.node.used(call.txn):
             budget.give(held)
             raise Rejected(409)
         if self._frontend.node.full:
             budget.give(held)
+            self._frontend.node.figures.answered(call.lane, 503)
             return _done(self._frontend.node.busy)
         # A connection that waited in the backlog may have been given up by now, its end right behind its request (guards
         # against work for clients who have left, when accepting had stopped for want of descriptors). It costs one look at the
@@ -229,6 +242,45 @@
         self._frontend.node.submit(call)
         return call.answer
 
+    async def _pump(self, parser: h11.Connection, call: Call, held: int, piece: bytes) -> bool:
+        """Hand on a request too large to hold by its beginning, and then the rest as it comes; what nobody wants is read past.
+
+        Guards against memory filled by bodies, and against a client that is answered early and never gets to read it, as its
+        connection is reset under what it still sends. Harm: reading past a large body costs its transfer.
+        """
+        feed = call.feed = Relay()
+        answer = self._admit(call, held)
+        if answer is not call.answer:
+            feed.close()  # it was not let in
+        self._pumping = parser
+        await self._enqueue(parser, answer)
+        size, pieces, marked = held + len(piece), 0, 0
+        loop = asyncio.get_running_loop()
+        due = loop.time() + PART_MS / 1000.0
+        try:
+            await feed.put(piece)
+            async with asyncio.timeout_at(due) as limit:
+                while not isinstance(event := await self._event(parser), h11.EndOfMessage):
+                    pieces += 1
+                    if not isinstance(event, h11.Data) or crumbs(pieces, size):
+                        raise Rejected(400)
+                    size += len(event.data)
+                    if size > BULK:
+                        raise Rejected(413)
+                    limit.reschedule(None)
+                    await feed.put(bytes(event.data))
+                    if size - marked >= PROGRESS:
+                        marked, due = size, loop.time() + PART_MS / 1000.0
+                    limit.reschedule(due)
+            feed.end()
+            self._pumping = None
+            self._rest()
+            return True
+        except (Rejected, h11.RemoteProtocolError, TimeoutError) as error:
+            feed.fail()
+            self._frontend.node.end(call, Answer(_status_of(error)))
+            return False
+
     def _let_go(self, call: Call, held: int) -> None:
         call.body.clear()
         self._frontend.budget.give(held)
@@ -245,7 +297,10 @@
     async def _send(self, parser: h11.Connection, answer: Answer) -> bool:
         """Write one answer; whether the connection goes on after it."""
         last = not self._frontend.duty.lasting and self._pending == 1 and not self.partial and not self._stream.has_input
-        keep = parser.their_state is h11.DONE and answer.status in KEPT and not last
+        whole = parser.their_state is h11.DONE or parser is self._pumping
+        keep = whole and answer.status in KEPT and not last
+        if answer.rest is not None:
+            return await self._send_bulk(parser, answer, answer.rest, keep)
         data = _head_of(answer, keep) + answer.body
         try:
             sent = self._stream.push(data)
@@ -258,6 +313,32 @@
             raise
         return keep
 
+    async def _send_bulk(self, parser: h11.Connection, answer: Answer, rest: Relay, keep: bool) -> bool:
+        """Write an answer too large to hold as it comes; whether the connection goes on after it."""
+        # A client of HTTP/1.0 knows no chunks: where the length is not known the connection's end tells it.
+        chunked = answer.length is None and parser.their_http_version != b"1.0"
+        keep = keep and (chunked or answer.length is not None)
+        piece: Optional[bytes] = answer.body
+        head = _head_of(answer, keep, chunked)
+        try:
+            while piece is not None:
+                data = b"%x\r\n%b\r\n" % (len(piece), piece) if chunked and piece else piece
+                async with asyncio.timeout(WRITE_STALL_S):
+                    await self._stream.write(head + data)
+                head = b""
+                piece = await rest.get()
+            if chunked:
+                await self._stream.write(b"0\r\n\r\n")
+        except Broken:
+            self._stream.abort()  # the client must be able to tell
+            raise ConnectionAbortedError("the answer broke off") from None
+        except BaseException:
+            self._stream.abort()
+            raise
+        finally:
+            rest.close()
+        return keep
+
 
 class Frontend:
     """All client connections, within one budget of sockets."""
@@ -399,11 +480,24 @@
                 connection.close_if_unread()
 
 
-def _head_of(answer: Answer, keep: bool) -> bytes:
+def _head_of(answer: Answer, keep: bool, chunked: bool = False) -> bytes:
     """An answer's head. All of it is our own words, so it needs no check (one by the parser costs as much as reading a request)."""
     retry = b"Retry-After: %g\r\n" % answer.retry_after_s if answer.retry_after_s else b""
     close = b"" if keep else b"Connection: close\r\n"
-    return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s\r\n" % (answer.status, REASONS[answer.status], len(answer.body), retry, close)
+    if answer.rest is None:
+        length = b"Content-Length: %d\r\n" % len(answer.body)
+    elif answer.length is not None:
+        length = b"Content-Length: %d\r\n" % answer.length
+    else:
+        length = b"Transfer-Encoding: chunked\r\n" if chunked else b""
+    return b"HTTP/1.1 %d %s\r\n%s%s%s\r\n" % (answer.status, REASONS[answer.status], length, retry, close)
+
+
+def _status_of(error: Exception) -> int:
+    """What a request is answered that could not be read."""
+    if isinstance(error, Rejected):
+        return error.status
+    return error.error_status_hint if isinstance(error, h11.RemoteProtocolError) else 408
 
 
 def _done(answer: Answer) -> asyncio.Future[Answer]:
@@ -441,30 +535,40 @@
         names = [name for name, _ in request.headers]
         if any(names.count(name) > 1 for name in SINGLE):
             raise Rejected(400)
-    if int(headers.get(b"content-length", b"0")) > LONGEST:
+    if int(headers.get(b"content-length", b"0")) > (BULK if request.method == b"PUT" else LONGEST):
         raise Rejected(413)
 
 
+def _origin_form(target: bytes) -> bytes:
+    """A request's target as servers take it: of the absolute form (RFC 9112, 3.2.2) what follows the authority."""
+    if target[:7].lower() != b"http://":
+        return target
+    _, slash, path = target[7:].partition(b"/")
+    return slash + path if slash else b"/"
+
+
 def _call_of(request: h11.Request, knows: Callable[[str], bool]) -> Call:
     """The request that a head describes, of a class that the node knows."""
     headers: dict[bytes, bytes] = dict(request.headers)
     if request.method not in (b"GET", b"PUT"):
         raise Rejected(405 if request.method in OTHER_METHODS else 501)
     txn, lane = headers.get(b"x-txn", b""), headers.get(b"x-lane", b"").decode("latin-1")
-    if not request.target.startswith(b"/"):
+    target = _origin_form(request.target)
+    if not target.startswith(b"/"):
         raise Rejected(404)
     if not ID_FORM.fullmatch(txn) or not knows(lane):
         raise Rejected(400)
     budget = headers.get(b"x-remaining-ms")
     return Call(
         method=request.method,
-        target=request.target,
+        target=target,
         txn=txn,
         idempotency_key=headers.get(b"idempotency-key"),
         lane=lane,
         org=headers.get(b"x-org", b"").decode("latin-1"),
-        key=request.target.partition(b"?")[0].rpartition(b"/")[2].decode("latin-1") or None,
+        key=target.partition(b"?")[0].rpartition(b"/")[2].decode("latin-1") or None,
         budget_ms=None if budget is None else _number(budget),
         work_ms=_number(headers.get(b"x-estimate", b"0")) / 1000.0,
         repeated=headers.get(b"x-resent") == b"1",
+        length=int(headers[b"content-length"]) if b"content-length" in headers else None,
     )
--- a/corkshift/messages.py
+++ b/corkshift/messages.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Optional
 
+from corkshift.relay import Relay
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -14,6 +16,8 @@
     status: int
     body: bytes = b""
     retry_after_s: float = 0.0
+    rest: Optional[Relay] = None  # of the body, where it is too large to hold: `body` is its beginning,
+    length: Optional[int] = None  # and this its whole length, if that is known
 
 
 @dataclass(eq=False, slots=True)
@@ -31,9 +35,14 @@
     work_ms: float
     repeated: bool
     body: list[bytearray] = field(default_factory=list)
+    feed: Optional[Relay] = None  # the rest of a body too large to hold: `body` is its beginning,
+    length: Optional[int] = None  # and this its whole length, if that is known
+    spent: bool = False  # the rest has begun to flow: the request can't be sent again
     answer: asyncio.Future[Answer] = field(default_factory=lambda: asyncio.get_running_loop().create_future())
     id: int = 0
+    since_ms: float = 0.0  # from when its time counts
     deadline_ms: float = 0.0
+    sent: bool = False  # of one too large to hold: its last byte has gone out
     backstop: Optional[asyncio.TimerHandle] = None
 
     @property
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -37,6 +37,8 @@
         self._attempts: dict[tuple[int, int], asyncio.Task[Outcome]] = {}
         self._running: dict[tuple[int, int], Attempt] = {}
         self._tries: dict[int, int] = {}
+        self._streams: dict[int, Call] = {}  # whose answers have begun and not ended: nothing is left to decide about them
+        self._lasting: set[bytes] = set()  # ids of requests that may be open for longer than ids are remembered
         self._last_id = 0
         self.servers: dict[str, CacheServer] = {}
         self.follow: Callable[[], None] = lambda: None
@@ -44,12 +46,12 @@
     @property
     def full(self) -> bool:
         """Whether as many requests are open as the node may hold."""
-        return len(self._calls) >= self._max_open
+        return self.open >= self._max_open
 
     @property
     def open(self) -> int:
         """How many requests have been taken and have no final answer yet."""
-        return len(self._calls)
+        return len(self._calls) + len(self._streams)
 
     def avoided(self) -> int:
         """How many of the listed cache servers get nothing now because of how they did."""
@@ -69,10 +71,10 @@
         before = now_ms() - ID_MEMORY_MS
         while self._ids and (len(self._ids) > IDS_MOST or next(iter(self._ids.values())) < before):
             del self._ids[next(iter(self._ids))]
-        return txn in self._ids
+        return txn in self._ids or txn in self._lasting
 
     def submit(self, call: Call) -> None:
-        """A whole request has come; its final answer is owed from now on."""
+        """A whole request has come, or the beginning of one too large to hold; its final answer is owed from now on."""
         now = now_ms()
         self._ids[call.txn] = now
         self._last_id += 1
@@ -80,11 +82,13 @@
         # No client waits longer than its class allows (guards against requests that are held for days).
         longest = self._deadlines[call.lane]
         budget = longest if call.budget_ms is None else min(call.budget_ms, longest)
-        call.deadline_ms = now + budget
+        call.since_ms, call.deadline_ms = now, now + budget
         self._calls[call.id] = call
         self._tries[call.id] = 0
-        # Guards against a request left without its answer, whatever goes wrong below.
-        call.backstop = asyncio.get_running_loop().call_later((budget + BACKSTOP_MS) / 1000.0, self._overdue, call)
+        if call.feed is None:
+            self._guard(call, budget)
+        else:
+            self._lasting.add(call.txn)
         self._decide(
             call,
             lambda: self._balancer.on_request(
@@ -99,6 +103,17 @@
         if self._calls.pop(call.id, None) is not None:
             self._close(call)
             self._decide(None, lambda: self._balancer.on_departure(now_ms(), call.id))
+        elif self._streams.pop(call.id, None) is not None:
+            self._close(call)
+
+    def end(self, call: Call, answer: Answer) -> None:
+        """A request is answered without the module: it came to no good end, or its time is over."""
+        self._answer(call, answer)
+        self._decide(None, lambda: self._balancer.on_departure(now_ms(), call.id))
+
+    def _guard(self, call: Call, budget_ms: float) -> None:
+        """Guards against a request left without its answer, whatever goes wrong."""
+        call.backstop = asyncio.get_running_loop().call_later((budget_ms + BACKSTOP_MS) / 1000.0, self._overdue, call)
 
     def on_list(self, form: str, entries: Iterable[Server]) -> None:
         """Discovery told of the cache servers, or failed to."""
@@ -107,8 +122,7 @@
 
     def _overdue(self, call: Call) -> None:
         log.warning("request %d had no answer by its deadline", call.id)
-        self._answer(call, Answer(504))
-        self._decide(None, lambda: self._balancer.on_departure(now_ms(), call.id))
+        self.end(call, Answer(504))
 
     def _due(self, token: int) -> None:
         self._decide(None, lambda: self._balancer.on_timer(now_ms(), token))
@@ -154,6 +168,9 @@
         """A request is over: what is still out for it ends."""
         if call.backstop is not None:
             call.backstop.cancel()
+        self._lasting.discard(call.txn)
+        if call.feed is not None:
+            call.feed.close()
         for n in range(self._tries.pop(call.id, 0)):
             self._end_attempt((call.id, n))
 
@@ -172,12 +189,14 @@
         n = self._tries[call_id]
         self._tries[call_id] = n + 1
         server = self.servers.get(name)
-        left_ms = call.deadline_ms - now_ms()
+        left_ms = call.deadline_ms - now_ms() if call.feed is None or call.sent else call.deadline_ms - call.since_ms
         within_ms = min(within_ms, left_ms) if within_ms else left_ms
-        if server is None or n >= self._config.settings.max_attempts or within_ms <= 0.0:
+        # Two attempts can't read one body that is not kept, nor can a second one once it flows.
+        twice = call.feed is not None and (call.spent or any((call_id, earlier) in self._running for earlier in range(n)))
+        if server is None or n >= self._config.settings.max_attempts or within_ms <= 0.0 or twice:
             asyncio.get_running_loop().call_soon(self._ended, call, n, name, now_ms(), Outcome("void"))
             return
-        attempt = Attempt(self._pool, server, call, within_ms, lambda: call.open and self._welcome(server))
+        attempt = Attempt(self._pool, server, call, within_ms, lambda: call.open and self._welcome(server), self)
         self._running[call_id, n] = attempt
         task = self._attempts[call_id, n] = asyncio.create_task(attempt.run())
         task.add_done_callback(lambda done: self._done(call, n, attempt, done))
@@ -200,7 +219,47 @@
             outcome = Outcome("broken")
         else:
             outcome = task.result()
-        self._ended(call, n, attempt.server.name, attempt.started_ms, outcome)
+        if not attempt.begun:
+            self._ended(call, n, attempt.server.name, attempt.started_ms, outcome)
+        elif self._streams.pop(call.id, None) is not None:
+            # An answer that had begun is whole, or broke off; the module has heard of it.
+            self._close(call)
+            self.figures.answered(call.lane, 200 if outcome.status == "success" else 502)
+        attempt.cut()
+
+    def spent(self, call: Call) -> None:
+        """See Owner."""
+        self._decide(call, lambda: self._balancer.on_spent(now_ms(), call.id))
+
+    def sent(self, call: Call) -> None:
+        """See Owner."""
+        if call.id in self._calls:
+            budget = call.deadline_ms - call.since_ms
+            call.since_ms, call.sent = now_ms(), True
+            call.deadline_ms = call.since_ms + budget
+            self._guard(call, budget)
+
+    def begun(self, attempt: Attempt, answer: Answer, note: int) -> bool:
+        """See Owner. The module hears of a success; other attempts end, and what is left is only to carry."""
+        call = attempt.call
+        if not call.open or self._calls.pop(call.id, None) is None:
+            return False
+        self._streams[call.id] = call
+        self._lasting.add(call.txn)
+        if call.backstop is not None:
+            call.backstop.cancel()
+        winner = 0
+        for n in range(self._tries.get(call.id, 0)):
+            if self._running.get((call.id, n)) is attempt:
+                winner = n
+            else:
+                self._end_attempt((call.id, n))
+        call.answer.set_result(answer)
+        elapsed_ms = now_ms() - attempt.started_ms
+        self._decide(
+            None, lambda: self._balancer.on_outcome(now_ms(), call.id, winner, True, "success", attempt.server.name, elapsed_ms, note)
+        )
+        return True
 
     def _ended(self, call: Call, n: int, name: str, started_ms: float, outcome: Outcome) -> None:
         elapsed_ms = now_ms() - started_ms
--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -24,7 +24,9 @@
 class Stream:
     """One connection. Reads go on by themselves until the buffer is full; writes end when the kernel has the bytes."""
 
-    __slots__ = ("_loop", "_sock", "_in", "_held", "_reading", "_reader", "_writer", "ended", "error", "closed", "notice", "_overdue")
+    __slots__ = (
+        "_loop", "_sock", "_in", "_held", "_reading", "_reader", "_writer", "ended", "error", "closed", "notice", "most", "_overdue",
+    )  # fmt: skip
 
     def __init__(self, sock: Socket) -> None:
         self._loop = asyncio.get_running_loop()
@@ -38,6 +40,7 @@
         self.error: Optional[OSError] = None
         self.closed = False
         self._overdue = False
+        self.most = CHUNK  # bytes of one read, and of input held before reading pauses
         self.notice: Optional[Callable[[], None]] = None  # called when input comes or ends
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -74,7 +77,7 @@
                 self._reader = None
         data = self._in.popleft()
         self._held -= len(data)
-        if self._held < CHUNK:
+        if self._held < self.most:
             self._resume()
         return data
 
@@ -160,7 +163,7 @@
 
     def _readable(self) -> None:
         try:
-            size = self._sock.recv_into(_SCRATCH)
+            size = self._sock.recv_into(_SCRATCH if self.most == CHUNK else _SCRATCH[: self.most])
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -171,7 +174,7 @@
             return
         self._in.append(bytes(_SCRATCH[:size]))
         self._held += size
-        if self._held >= CHUNK:
+        if self._held >= self.most:
             self._pause()
         self._wake()
         if self.notice is not None:
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -6,19 +6,22 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
-from typing import Optional
+from typing import Optional, Protocol
 
 import h11
 
 from corkshift import seam
-from corkshift.budget import LONGEST, PIECES
+from corkshift.budget import BULK, LONGEST, crumbs
 from corkshift.figures import Figures
-from corkshift.messages import Call
+from corkshift.messages import Answer, Call
+from corkshift.relay import Broken, Relay
 from corkshift.seam import Address, now_ms
 from corkshift.stream import CHUNK, KERNEL_BUFFER, Stream
 
 MAX_HEAD = 16_384  # bytes of an answer's head, of a chunk's header or of trailers
 MOST_NOTICES = 8  # 1xx answers ahead of the final one
+BULK_READ = 32_768  # bytes read at once of an answer too large to hold
+STALL_S = 10.0  # a server that gives or takes nothing of a large body for this long is given up
 VERSION = b"HTTP/1."
 IDLE_SHARE = 0.7  # of the stated idle time; a connection that rested longer is not used again
 REST_MS = 2.0  # before a connection is used again: what comes behind an answer, and is not the next one's, shows by then
@@ -155,29 +158,57 @@
             self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
 
+class Owner(Protocol):
+    """Who has an attempt made, as far as it must hear of it before its end."""
+
+    def spent(self, call: Call) -> None:
+        """The request's body has begun to flow past: it can't be sent again."""
+
+    def sent(self, call: Call) -> None:
+        """The last byte of a request too large to hold has gone out: its time runs from now on."""
+
+    def begun(self, attempt: Attempt, answer: Answer, note: int) -> bool:
+        """An answer too large to hold has begun; whether its client still wants it."""
+
+
 class Attempt:
     """One exchange with a cache server. It ends in exactly one outcome, and nothing is ever sent again."""
 
-    def __init__(self, pool: Pool, server: CacheServer, call: Call, within_ms: float, may_send: Callable[[], bool]) -> None:
+    def __init__(
+        self, pool: Pool, server: CacheServer, call: Call, within_ms: float, may_send: Callable[[], bool], owner: Owner
+    ) -> None:
         self.server = server
-        self.started_ms = now_ms()
+        self.started_ms = now_ms()  # or, of a request too large to hold, when its last byte went out
         self._pool = pool
-        self._call = call
+        self.call = call
         self._within_ms = within_ms
         self._may_send = may_send
+        self._owner = owner
+        self._limit = asyncio.timeout(within_ms / 1000.0)
+        self._relay: Optional[Relay] = None  # what carries an answer too large to hold
         self._stream: Optional[Stream] = None
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
         self._touched = False  # a byte may have gone out
         self._written = False  # all of them have
 
+    @property
+    def begun(self) -> bool:
+        """Whether an answer too large to hold has begun to be passed on."""
+        return self._relay is not None
+
+    def cut(self) -> None:
+        """Let the client see that its answer breaks off here, unless it is whole."""
+        if self._relay is not None:
+            self._relay.fail()
+
     async def run(self) -> Outcome:
         """Send the request and read the whole answer."""
         outcome = Outcome("withdrawn")
         try:
-            async with asyncio.timeout(self._within_ms / 1000.0):
+            async with self._limit:
                 outcome = await self._exchange()
-        except NotSent:
-            outcome = Outcome("void")
+        except (NotSent, Broken):
+            outcome = Outcome("void")  # Broken: the client gave up before its last byte, so it never ran
         except TimeoutError:
             # Until its last byte has left our buffer a request cannot have run.
             outcome = Outcome("timed_out" if self._written else "unreachable")
@@ -197,13 +228,13 @@
 
     async def _exchange(self) -> Outcome:
         self._stream = await self._pool.connect(self.server)
-        early = not await self._send(self._stream)
+        send = self._send if self.call.feed is None else self._send_bulk
+        early = not await send(self._stream)
         return await self._receive(early)
 
-    async def _send(self, stream: Stream) -> bool:
-        """Write the request; False when the server answered before all of it was out."""
-        call = self._call
-        size = sum(map(len, call.body))
+    def _head(self, size: Optional[int]) -> bytes:
+        """The request's head; its body has so many bytes, or an unknown number."""
+        call = self.call
         headers = [
             (b"Host", b"%s:%d" % (self.server.address[0].encode(), self.server.address[1])),
             (b"X-Txn", call.txn),
@@ -211,9 +242,17 @@
         ]
         if call.idempotency_key is not None:
             headers.append((b"Idempotency-Key", call.idempotency_key))
-        if size or call.method == b"PUT":
+        if size is None:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        elif size or call.method == b"PUT":
             headers.append((b"Content-Length", b"%d" % size))
-        head = self._parser.send(h11.Request(method=call.method, target=call.target, headers=headers))
+        return self._parser.send(h11.Request(method=call.method, target=call.target, headers=headers))
+
+    async def _send(self, stream: Stream) -> bool:
+        """Write the request; False when the server answered before all of it was out."""
+        call = self.call
+        size = sum(map(len, call.body))
+        head = self._head(size)
         for part in call.body:
             self._parser.send_with_data_passthrough(h11.Data(data=bytes(part)))
         self._parser.send(h11.EndOfMessage())
@@ -227,11 +266,48 @@
             self._touched = True
             if not await stream.write(piece, until_input=True):
                 return False
+        return await self._send_last(stream, pieces[-1], len(pieces) > 1)
+
+    async def _send_bulk(self, stream: Stream) -> bool:
+        """Write a request too large to hold as its body comes; False as above. Broken where the client gives up.
+
+        Its time runs from its last byte: until then only standing still ends it, here or on the client's side.
+        """
+        call, feed = self.call, self.call.feed
+        assert feed is not None
+        self._limit.reschedule(None)
+        parts = [self._head(call.length)]
+        for kept in call.body:
+            parts += self._parser.send_with_data_passthrough(h11.Data(data=bytes(kept))) or ()
+        ahead = b"".join(parts)
+        while (piece := await feed.get()) is not None:
+            if not call.spent:
+                call.spent = True
+                self._owner.spent(call)
+            self._touched = True
+            async with asyncio.timeout(STALL_S):
+                if not await stream.write(ahead, until_input=True):
+                    feed.close()
+                    return False
+            ahead = b"".join(self._parser.send_with_data_passthrough(h11.Data(data=piece)) or ())
+        ahead += self._parser.send(h11.EndOfMessage()) or b""
+        self._touched = True
+        async with asyncio.timeout(STALL_S):
+            if not await stream.write(ahead[:-1], until_input=True):
+                return False
+        if not await self._send_last(stream, ahead[-1:], True):
+            return False
+        self.started_ms = now_ms()
+        self._owner.sent(call)
+        self._limit.reschedule(asyncio.get_running_loop().time() + self._within_ms / 1000.0)
+        return True
+
+    async def _send_last(self, stream: Stream, piece: bytes | bytearray, until_input: bool) -> bool:
         # A slow dial or a long body takes time: the client may have left, the server may drain.
         if not self._may_send():
             raise NotSent("no longer wanted")
         self._touched = True
-        if not await stream.write(pieces[-1], until_input=len(pieces) > 1):
+        if not await stream.write(piece, until_input=until_input):
             return False
         self._written = True
         self._pool.figures.tries += 1
@@ -255,15 +331,42 @@
         if early:
             raise ConnectionResetError("served before the request was whole")
         note = NOTES.get(headers.get(b"x-found", b"").strip().lower(), 0)
-        _check_length(headers)
+        length = _length_of(headers)
+        half_ms = now_ms() + self._within_ms / 2.0
         body, pieces = bytearray(), 0
         while isinstance(event := await self._event(), h11.Data):
             body += event.data
             pieces += 1
-            if len(body) > LONGEST or pieces > PIECES:
-                raise Spoilt("longer than any body may be, or in too small pieces")
+            if crumbs(pieces, len(body)):
+                raise Spoilt("in too small pieces")
+            if len(body) > LONGEST or (length is not None and length > LONGEST) or (length is None and now_ms() > half_ms):
+                return await self._pass_on(bytes(body), length, note)
         return Outcome("success", note, bytes(body))
 
+    async def _pass_on(self, body: bytes, length: Optional[int], note: int) -> Outcome:
+        """Give the client what has come, and the rest as it comes. From here on the answer can only be whole or broken off."""
+        assert self._stream is not None
+        relay = Relay()
+        if not self._owner.begun(self, Answer(200, body, rest=relay, length=length), note):
+            raise NotSent("no longer wanted")
+        self._relay = relay
+        self._limit.reschedule(None)
+        self._stream.most = BULK_READ
+        size, pieces = len(body), 0
+        while True:
+            async with asyncio.timeout(STALL_S):
+                event = await self._event()
+            if not isinstance(event, h11.Data):
+                break
+            size += len(event.data)
+            pieces += 1
+            if size > BULK or crumbs(pieces, size):
+                raise Spoilt("longer than any body may be, or in too small pieces")
+            if not await relay.put(bytes(event.data)):
+                raise ConnectionAbortedError("the client has left")
+        relay.end()
+        return Outcome("success", note)
+
     async def _drain(self) -> None:
         """Read a short answer to its end, to keep the connection; a long or broken one says no more than its head."""
         with suppress(OSError, h11.RemoteProtocolError):
@@ -301,13 +404,14 @@
         raise Spoilt("not HTTP")
 
 
-def _check_length(headers: dict[bytes, bytes]) -> None:
-    """Believe an answer's length only where it is told once and is no longer than a body may be.
+def _length_of(headers: dict[bytes, bytes]) -> Optional[int]:
+    """An answer's length in bytes, None where it comes in chunks; believed only where it is told once and not beyond all bounds.
 
     Guards against an answer that is said to have gigabytes and keeps coming, and against one with two lengths, whose end is
     a guess. An answer with neither would end with its connection, and so would one that broke off: it is spoilt too. Harm: a
     cache server that speaks HTTP/1.0 is of no use here (the protocol asks for 1.1).
     """
     told, chunked = headers.get(b"content-length"), b"transfer-encoding" in headers
-    if (told is not None) == chunked or (told is not None and int(told) > LONGEST):
+    if (told is not None) == chunked or (told is not None and int(told) > BULK):
         raise Spoilt("the length can't be believed")
+    return None if told is None else int(told)
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -215,7 +215,7 @@
         actions: list[Action] = []
         while self.waits and self.waits[0][0] <= now:
             request = self.held.get(heappop(self.waits)[1])
-            if request is not None and request.out and not request.streaming:
+            if request is not None and request.out and not (request.streaming or request.once):
                 actions += self._hedge(request, now)
         if self.waits:
             actions += self._look_at(max(self.waits[0][0], now + HEDGE_STEP_MS))
@@ -396,6 +396,8 @@
             request.first_ran = request.sent[attempt]
         if request.out or request.streaming:
             return []
+        if request.once:
+            return [self._end(request, now)]
         if status == "absent" and self.fleet.origin is not None and request.tries < self.settings.max_attempts:
             return [self._send(request, self.fleet.origin, now)]
         left = request.aim_at - now
@@ -485,6 +487,13 @@
             request.streaming = True
         return []
 
+    def on_spent(self, now: float, request_id: int) -> list[Action]:
+        """A part of the request's body is gone: it can't be sent again, and its time runs from its last byte."""
+        request = self.held.get(request_id)
+        if request is not None:
+            request.once = True
+        return []
+
     def on_departure(self, now: float, request_id: int) -> list[Action]:
         """The client left: stop its attempts where that is allowed."""
         request = self.held.pop(request_id, None)
--- a/forkweir/request.py
+++ b/forkweir/request.py
@@ -29,6 +29,7 @@
         "cost",
         "fetches",
         "write",
+        "once",
     )
 
     def __init__(
@@ -59,3 +60,4 @@
         self.servers: list[Member] = []
         self.sent: list[float] = []
         self.streaming = False
+        self.once = False  # its body is gone in part: it can't be sent again
--- a/testbed/rules.py
+++ b/testbed/rules.py
@@ -139,7 +139,7 @@
             txn = ask.txn.encode()
             if any(call.txn == txn for call in service.node._calls.values()):
                 self.broken("nothing after the end", f"{process.name} still holds {ask.txn}")
-            if any(attempt._call.txn == txn for attempt in service.node._running.values()):
+            if any(attempt.call.txn == txn for attempt in service.node._running.values()):
                 self.broken("nothing after the end", f"an attempt of {process.name} for {ask.txn} is still out")
 
     def ended(self, ask: Ask, how: str) -> bool:
--- a/testbed/serving.py
+++ b/testbed/serving.py
@@ -14,7 +14,7 @@
 from corkshift.seam import Address, Socket
 from corkshift.stream import KERNEL_BUFFER, Stream
 
-MOST_BODY = 1 << 20
+MOST_BODY = 1 << 25
 
 Result = TypeVar("Result")
 
--- /dev/null
+++ b/tests/test_bulk.py
@@ -0,0 +1,361 @@
+"""Bodies too large to hold, both ways, over loopback sockets: what comes whole, what breaks off, and who waits for whom."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from loopback import CacheBox, Rig, good, play, request, rig, status, until, whole
+
+from corkshift.budget import BULK, LONGEST
+from corkshift.relay import Broken, Relay
+from testbed.serving import Connection, Message
+
+BODY = random.Random(1).randbytes(1 << 20)
+
+
+class Tap(CacheBox):
+    """A box that writes its answer in two parts, the second once it is told to; `written` counts what left it."""
+
+    def __init__(self, first: bytes, second: bytes) -> None:
+        super().__init__()
+        self.parts = first, second
+        self.go = asyncio.Event()
+        self.written = 0
+        self.left = asyncio.Event()
+
+    async def serve(self, connection: Connection, request: Message) -> None:
+        self.heads.append(request.target.encode())
+        try:
+            await self._write(connection, self.parts[0])
+            await self.go.wait()
+            await self._write(connection, self.parts[1])
+        except OSError:
+            self.left.set()
+            raise
+
+    async def _write(self, connection: Connection, data: bytes) -> None:
+        for at in range(0, len(data), 16_384):
+            await connection.stream.write(data[at : at + 16_384])
+            self.written += len(data[at : at + 16_384])
+
+
+def sized(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nX-Found: hit\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def chunks(body: bytes, size: int = 30_000) -> bytes:
+    return b"".join(b"%x\r\n%b\r\n" % (len(body[at : at + size]), body[at : at + size]) for at in range(0, len(body), size)) + b"0\r\n\r\n"
+
+
+def chunked(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nX-Found: hit\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(body)
+
+
+def unchunked(data: bytes) -> bytes:
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        body, data = body + data[: int(size, 16)], data[int(size, 16) + 2 :]
+    return body
+
+
+def head_of(txn: str, more: str, lane: str = "order") -> bytes:
+    return request(txn, more, lane=lane, method="PUT")
+
+
+async def answer_on(reader: asyncio.StreamReader) -> tuple[int, bytes]:
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+    return status(head), await reader.readexactly(length)
+
+
+async def at_rest(made: Rig) -> None:
+    await until(lambda: not made.node._attempts and not made.node.open and not made.frontend.budget.used)
+
+
+@pytest.mark.parametrize("form", [sized, chunked])
+def test_a_large_answer_is_passed_on_from_its_first_bytes_and_comes_whole(form: object) -> None:
+    # Guards against an answer held until it is whole: its first bytes are what its client waits for.
+    async def test() -> None:
+        data = sized(BODY) if form is sized else chunked(BODY)
+        box = Tap(data[: 200_000], data[200_000:])
+        async with rig({"s0": box}) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+            writer.write(request("a", "Connection: close\r\n"))
+            head = await reader.readuntil(b"\r\n\r\n")
+            early = await reader.readexactly(100_000)
+            assert status(head) == 200 and not box.go.is_set() and made.node.open == 1
+            box.go.set()
+            body = early + await reader.read(-1)
+            assert (body if form is sized else unchunked(body)) == BODY
+            await at_rest(made)
+            assert made.figures.answers["read"] == [1, 0, 0] and made.figures.tries == 1
+            writer.transport.abort()
+
+    play(test)
+
+
+def test_a_large_answer_that_breaks_off_is_seen_to_be_cut_and_is_not_repeated() -> None:
+    async def test() -> None:
+        box = Tap(sized(BODY)[:300_000], b"")
+        async with rig({"s0": box, "s1": Tap(sized(BODY)[:300_000], b"")}) as made:
+            asked = asyncio.create_task(made.ask("a"))
+            boxes = list(made.boxes.values())
+            await until(lambda: any(each.heads for each in boxes) and made.node.open == 1 and bool(made.node._streams))
+            for each in boxes:
+                each.close()
+            answer = await asked
+            assert len(answer.partition(b"\r\n\r\n")[2]) < len(BODY)
+            await at_rest(made)
+            assert sum(len(each.heads) for each in boxes) == 1 and made.figures.answers["read"] == [0, 0, 1]
+
+    play(test)
+
+
+def test_a_client_that_reads_slowly_holds_its_server_back_and_no_memory() -> None:
+    # Guards against answers piled up in memory between a fast server and a slow client.
+    async def test() -> None:
+        data = sized(bytes(8 << 20))
+        box = Tap(data, b"")
+        box.go.set()
+        async with rig({"s0": box}) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port, limit=4_096)
+            writer.write(request("a"))
+            await reader.readuntil(b"\r\n\r\n")
+            before = -1
+            while before != box.written:  # until nothing moves any more
+                before = box.written
+                await asyncio.sleep(0.25)
+            assert box.written < 3 << 20
+            size = 0
+            while size < 8 << 20:
+                size += len(await reader.read(1 << 16))
+            assert size == 8 << 20
+            await at_rest(made)
+            writer.transport.abort()
+
+    play(test)
+
+
+def test_a_client_that_leaves_half_way_ends_the_work_for_it() -> None:
+    async def test() -> None:
+        data = sized(bytes(8 << 20))
+        box = Tap(data, b"")
+        async with rig({"s0": box}) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+            writer.write(request("a"))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.transport.abort()
+            await box.left.wait()
+            await at_rest(made)
+            assert made.pool.open == 0
+
+    play(test)
+
+
+def test_an_answer_without_end_is_cut_at_the_longest_that_any_may_be() -> None:
+    async def test() -> None:
+        chunk = b"10000\r\n" + bytes(65_536) + b"\r\n"
+        box = Tap(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk * (BULK // 65_536 + 20), b"")
+        async with rig({"s0": box}) as made:
+            answer = await made.ask("a")
+            assert not answer.endswith(b"0\r\n\r\n") and len(answer) < BULK + 400_000
+            await at_rest(made)
+            assert made.figures.answers["read"] == [0, 0, 1]
+
+    play(test)
+
+
+@pytest.mark.parametrize("form", ["sized", "chunked"])
+def test_a_large_body_reaches_its_server_whole_and_the_connection_goes_on(form: str) -> None:
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+            more = f"Content-Length: {len(BODY)}\r\n" if form == "sized" else "Transfer-Encoding: chunked\r\n"
+            data = head_of("a", more) + (BODY if form == "sized" else chunks(BODY)) + request("b")
+            for at in range(0, len(data), 50_001):
+                writer.write(data[at : at + 50_001])
+                await writer.drain()
+            assert (await answer_on(reader))[0] == 200 and (await answer_on(reader))[0] == 200
+            assert sorted(made.boxes["s0"].bodies) == [b"", BODY]
+            await at_rest(made)
+            writer.transport.abort()
+
+    play(test)
+
+
+def test_a_large_body_goes_to_another_server_where_the_first_refuses_connections() -> None:
+    # Nothing beyond the first 64 KiB has flowed: what is kept makes a second attempt good.
+    async def test() -> None:
+        boxes = {f"s{n}": CacheBox() for n in range(2)}
+        async with rig(boxes) as made:
+            more = f"Content-Length: {len(BODY)}\r\n"
+            boxes["s0"].close()
+            for n in range(4):
+                answer = await made.ask(f"a{n}", more, f"/api/k{n}", "order", "PUT", BODY)
+                assert status(answer) == 200
+            assert boxes["s1"].bodies == [BODY] * 4 and made.figures.tries == 4
+
+    play(test)
+
+
+def test_a_server_that_breaks_in_the_middle_of_a_large_body_never_ran_it_and_the_client_is_told_so() -> None:
+    class Breaker(CacheBox):
+        async def _run(self, connection: Connection) -> None:
+            await connection.stream.read()
+            del self.connections[connection]
+            connection.stream.abort()
+
+    async def test() -> None:
+        async with rig({"s0": Breaker(), "s1": Breaker()}) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+            writer.write(head_of("a", f"Content-Length: {len(BODY)}\r\n") + BODY)
+            assert (await answer_on(reader))[0] == 503
+            writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")  # the rest was read past: the connection goes on
+            assert await answer_on(reader) == (200, b"ok\n")
+            await at_rest(made)
+            assert made.figures.tries == 0
+            writer.transport.abort()
+
+    play(test)
+
+
+def test_a_server_that_fails_after_a_large_body_may_have_run_it_and_it_is_not_sent_twice() -> None:
+    async def test() -> None:
+        def bad(head: bytes) -> bytes:
+            return b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+
+        async with rig({"s0": CacheBox(bad), "s1": CacheBox(bad)}) as made:
+            assert status(await made.ask("a", f"Content-Length: {len(BODY)}\r\n", lane="pay", method="PUT", body=BODY)) in (502, 503)
+            assert status(await made.ask("b", f"Content-Length: {len(BODY)}\r\n", lane="order", method="PUT", body=BODY)) == 502
+            assert made.figures.tries == 2 and sum(len(box.bodies) for box in made.boxes.values()) == 2
+
+    play(test)
+
+
+def test_a_client_that_stops_in_the_middle_of_a_large_body_is_answered_within_three_seconds() -> None:
+    # Guards against a server's connection held for a client that never ends.
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            began = asyncio.get_running_loop().time()
+            answer = await made.send(head_of("a", f"Content-Length: {len(BODY)}\r\n") + BODY[: 3 * LONGEST])
+            assert status(answer) == 408 and asyncio.get_running_loop().time() - began < 3.0
+            await at_rest(made)
+            assert made.boxes["s0"].bodies == [] and made.pool.open == 0
+
+    play(test)
+
+
+def test_a_client_that_takes_its_time_within_bounds_is_served() -> None:
+    # Two seconds for the head, then a body as slow as may be (guards against slow clients cut off in good order).
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+            data = head_of("a", f"Content-Length: {2 * LONGEST}\r\n")
+            for part in (data[:20], data[20:50], data[50:]):
+                writer.write(part)
+                await asyncio.sleep(0.7)
+            for at in range(0, 2 * LONGEST, 16_384):
+                writer.write(BODY[at : at + 16_384])
+                await asyncio.sleep(0.25)
+            assert (await answer_on(reader))[0] == 200 and made.boxes["s0"].bodies == [BODY[: 2 * LONGEST]]
+            writer.transport.abort()
+
+    play(test)
+
+
+@pytest.mark.parametrize(
+    ("more", "body", "expected"),
+    [
+        (f"Content-Length: {BULK + 1}\r\n", b"", 413),
+        ("Transfer-Encoding: chunked\r\n", chunks(bytes(3 * LONGEST))[:-5] + b"zz\r\n", 400),
+        ("Transfer-Encoding: chunked\r\n", (b"10000\r\n" + bytes(65_536) + b"\r\n") * (BULK // 65_536 + 1), 413),
+        ("Transfer-Encoding: chunked\r\n", chunks(bytes(LONGEST + 1)) [:-5] + b"1\r\nx\r\n" * 20_000, 400),
+    ],
+)
+def test_a_large_body_that_is_none_gets_its_error_and_never_runs(more: str, body: bytes, expected: int) -> None:
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            assert status(await made.send(head_of("a", more) + body)) in (expected, 0)
+            await at_rest(made)
+            assert made.boxes["s0"].bodies == [] and made.boxes["s0"].heads == []
+            assert status(await made.ask("b")) == 200
+
+    play(test)
+
+
+def test_the_id_of_a_large_body_under_way_is_not_served_to_another() -> None:
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+            writer.write(head_of("a", f"Content-Length: {len(BODY)}\r\n") + BODY[: 2 * LONGEST])
+            await until(lambda: made.node.open == 1)
+            made.node._ids.clear()  # as if it had been under way for longer than ids are remembered
+            assert status(await made.ask("a")) == 409
+            writer.write(BODY[2 * LONGEST :])
+            assert (await answer_on(reader))[0] == 200
+            writer.transport.abort()
+
+    play(test)
+
+
+def test_a_target_in_absolute_form_is_sent_on_by_its_path() -> None:
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            answer = await made.ask("a", path="http://service.internal/api/k?x=1")
+            assert answer.endswith(b"for /api/k?x=1")
+            assert status(await made.send(b"GET http://service.internal/up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")) == 200
+
+    play(test)
+
+
+def test_a_small_answer_is_checked_whole_before_any_of_it_goes_out() -> None:
+    async def test() -> None:
+        spoil = iter([whole(b"x" * 5_000)[:-10]])
+        box = CacheBox(lambda head: next(spoil, None) or good(head))
+        async with rig({"s0": box}) as made:
+            asked = asyncio.create_task(made.ask("a"))
+            await until(lambda: len(box.heads) == 1)
+            for connection in list(box.connections):
+                connection.stream.close()
+            assert (await asked).endswith(b"for /api/k") and len(box.heads) == 2
+
+    play(test)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_relay_gives_what_was_put_in_order_whoever_waits(seed: int) -> None:
+    # Each side stops at points drawn from the seed (guards against a wake-up lost between two waits).
+    async def test() -> None:
+        rng = random.Random(seed)
+        relay, given, taken = Relay(), [b"%d" % n for n in range(60)], []
+        end = rng.choice(("end", "fail", "close"))
+
+        async def write() -> bool:
+            for piece in given:
+                for _ in range(rng.randrange(3)):
+                    await asyncio.sleep(0)
+                if not await relay.put(piece):
+                    return False
+            relay.fail() if end == "fail" else relay.end()
+            return True
+
+        async def read() -> bool:
+            while (piece := await relay.get()) is not None:
+                taken.append(piece)
+                for _ in range(rng.randrange(3)):
+                    await asyncio.sleep(0)
+                if end == "close" and len(taken) == 30:
+                    relay.close()
+                    return True
+            return True
+
+        wrote, got = await asyncio.gather(write(), read(), return_exceptions=True)
+        if end == "close":
+            assert wrote is False and taken == given[:30]
+        else:
+            assert wrote is True and taken == given and (isinstance(got, Broken) if end == "fail" else got is True)
+
+    play(test)
