Benchmark of a node's CPU a request against another revision; faults of the new variables

Change: benchmarks/ordinary_path.py: two real nodes take the same open-loop load in turn, ratio pair by pair; benchmarks/revision.py gives any packages of a revision. Tests of bad PROXY_SOCKET_FD and PROXY_ADMIN_ADDR, of an operators' address that is taken, and of both in check; a reload names a changed operators' address among what waits for the next start.

--- a/benchmarks/module.py
+++ b/benchmarks/module.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.revision import ROOT, module_of
+from benchmarks.revision import ROOT, packages_of
 
 MOST = 1.05
 PAIRS = 15
@@ -69,7 +69,7 @@
     args = parser.parse_args()
     figures: dict[str, Any] = {"against": args.against}
     worst = 0.0
-    with module_of(args.against) as other:
+    with packages_of(args.against, "forkweir") as other:
         for servers in (12, 62):
             ratios, here = [], []
             for _ in range(PAIRS // 3 if args.quick else PAIRS):
--- /dev/null
+++ b/benchmarks/ordinary_path.py
@@ -0,0 +1,220 @@
+"""CPU of a node for each request, against another revision: `python -m benchmarks.ordinary_path --against REV [--most R]`.
+
+Two real processes, this tree's node and the other's, take the same open-loop load in turn (menu-read on kept connections, a
+twelfth of them PUT; half of the clients open a connection for each request where --fresh is given), and the ratio of their CPU
+times, user and system, is taken pair by pair. Boxes and discovery are the testbed's and answer in this process. Exits with 1
+where the median ratio is over --most (1.05), with 2 where a request failed, as then the pairs are not alike.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import statistics
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from benchmarks.revision import ROOT, packages_of
+from testbed.scripted import ScriptedBox, whole
+from testbed.standins import Registry, Witness
+
+HOST = "127.0.0.1"
+BOXES = 12
+CLIENTS = 40
+RATE = 8.0  # requests a second of each client
+WARM_S, TIMED_S = 1.5, 6.0
+READY_S = 20.0
+PUT_EVERY = 12
+ANSWER = whole(bytes(600), b"Content-Type: application/json\r\n")
+SETTINGS: dict[str, Any] = {
+    "services": [{"name": "menu-read", "promiseMs": 750, "deadlineMs": 2500, "idempotency": "safe", "worth": 1}],
+    "discovery": "subscribe",
+    "contract": {"mustAskInMs": 1000, "stopSendingWithinMs": 250},
+    "allowed": {"mostTries": 3, "retryAfter": True, "maxRetryAfterMs": 1200, "mayCancel": True, "dialTimeoutMs": 5000},
+}
+
+
+class Failed(Exception):
+    """A request had no good answer, or the node did not come up."""
+
+
+class Node:
+    """One node's process."""
+
+    def __init__(self, tree: Path, folder: Path, registry: Registry) -> None:
+        self.tree = tree
+        self.path = folder / "config.json"
+        self.registry = registry
+        self.port = 0
+
+    async def start(self) -> None:
+        """Start it and wait until it serves."""
+        probe = await asyncio.start_server(lambda reader, writer: None, HOST, 0)
+        self.port = probe.sockets[0].getsockname()[1]
+        probe.close()
+        await probe.wait_closed()
+        config = {
+            "name": "n0", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{self.registry.address[1]}", "seed": "1",
+            "limits": {"memory_mb": 128, "sockets": 1024}, "settings": SETTINGS,
+        }  # fmt: skip
+        self.path.write_text(json.dumps(config))
+        environ = {**os.environ, "PROXY_CONFIG": str(self.path), "PYTHONPATH": str(self.tree)}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "corkshift", cwd=self.tree, env=environ, stderr=asyncio.subprocess.DEVNULL
+        )
+        async with asyncio.timeout(READY_S):
+            n = 0
+            while await self._first(n) != 200:
+                n += 1
+                await asyncio.sleep(0.05)
+
+    async def _first(self, n: int) -> int:
+        try:
+            client = await Client.connect(self.port, f"first-{n}", False)
+        except OSError:
+            return 0
+        try:
+            return await client.ask()
+        except (OSError, asyncio.IncompleteReadError):
+            return 0
+        finally:
+            client.close()
+
+    def cpu_s(self) -> float:
+        """CPU that it has used, user and system."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK")
+
+    async def stop(self) -> None:
+        """End it."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
+class Client:
+    """One client: its requests, one after another."""
+
+    def __init__(self, port: int, name: str, fresh: bool) -> None:
+        self.port, self.name, self.fresh = port, name, fresh
+        self.count = 0
+        self.reader: asyncio.StreamReader
+        self.writer: asyncio.StreamWriter
+
+    @classmethod
+    async def connect(cls, port: int, name: str, fresh: bool) -> Client:
+        """A client with its connection."""
+        client = cls(port, name, fresh)
+        await client.dial()
+        return client
+
+    async def dial(self) -> None:
+        """Open a connection."""
+        self.reader, self.writer = await asyncio.open_connection(HOST, self.port)
+
+    def close(self) -> None:
+        """End the connection."""
+        self.writer.transport.abort()
+
+    async def ask(self) -> int:
+        """One request; the status of its answer."""
+        self.count += 1
+        put = self.count % PUT_EVERY == 0
+        method, body = (b"PUT", b"x" * 200) if put else (b"GET", b"")
+        key = (len(self.name) * 37 + self.count) % 500
+        head = b"%b /api/%d HTTP/1.1\r\nHost: service.internal\r\nX-Txn: %b-%d\r\nX-Lane: menu-read\r\nX-Remaining-Ms: 2000\r\n" % (
+            method, key, self.name.encode(), self.count,
+        )  # fmt: skip
+        self.writer.write(head + (b"Content-Length: %d\r\n" % len(body) if put else b"") + b"\r\n" + body)
+        answer = await self.reader.readuntil(b"\r\n\r\n")
+        await self.reader.readexactly(int(answer.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0]))
+        return int(answer.split(b" ", 2)[1])
+
+    async def run(self, until: float, first_s: float) -> int:
+        """Ask at a steady pace; how many requests were served. Failed where one was not."""
+        loop = asyncio.get_running_loop()
+        due, served = loop.time() + first_s, 0
+        while due < until:
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            due += 1.0 / RATE
+            if self.fresh and self.count:
+                self.close()
+                await self.dial()
+            if (status := await self.ask()) != 200:
+                raise Failed(f"a request was answered {status}")
+            served += 1
+        return served
+
+
+async def load(node: Node, part: str, fresh: bool, for_s: float) -> int:
+    """All clients for a while; how many requests were served."""
+    until = asyncio.get_running_loop().time() + for_s
+    clients = [await Client.connect(node.port, f"{part}-{n}", fresh and n % 2 == 0) for n in range(CLIENTS)]
+    try:
+        return sum(await asyncio.gather(*(client.run(until, n / CLIENTS / RATE) for n, client in enumerate(clients))))
+    finally:
+        for client in clients:
+            client.close()
+
+
+async def measure(tree: Path, fresh: bool) -> float:
+    """Microseconds of CPU a request of the node in a tree. Failed where a request failed or it does not come up."""
+    boxes = {f"s{n}": ScriptedBox(lambda head: ANSWER) for n in range(BOXES)}
+    registry = Registry((HOST, 0), Witness())
+    for name, box in boxes.items():
+        box.listen()
+        registry.entries[name] = Registry.entry(name, box.address)
+    registry.listen()
+    with tempfile.TemporaryDirectory() as folder:
+        node = Node(tree, Path(folder), registry)
+        try:
+            await node.start()
+            await load(node, "warm", fresh, WARM_S)
+            before = node.cpu_s()
+            served = await load(node, "timed", fresh, TIMED_S)
+            return 1e6 * (node.cpu_s() - before) / served
+        except TimeoutError:
+            raise Failed("the node does not serve") from None
+        finally:
+            await node.stop()
+            registry.close()
+            for box in boxes.values():
+                box.close()
+
+
+def main() -> int:
+    """Print the ratio; the exit code."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--against", default="HEAD", metavar="REV", help="a revision of this repository")
+    parser.add_argument("--most", type=float, default=1.05, metavar="R", help="the median ratio may not be higher")
+    parser.add_argument("--fresh", action="store_true", help="half of the clients open a connection for each request")
+    parser.add_argument("--quick", action="store_true", help="one pair in place of five")
+    parser.add_argument("--json", type=Path, metavar="FILE")
+    args = parser.parse_args()
+    here: list[float] = []
+    there: list[float] = []
+    try:
+        with packages_of(args.against, "corkshift", "forkweir") as other:
+            for _ in range(1 if args.quick else 5):
+                here.append(asyncio.run(measure(ROOT, args.fresh)))
+                there.append(asyncio.run(measure(other, args.fresh)))
+    except Failed as error:
+        print(f"no comparison: {error}", file=sys.stderr)
+        return 2
+    ratios = [mine / its for mine, its in zip(here, there, strict=True)]
+    ratio = statistics.median(ratios)
+    print(
+        f"{statistics.median(here):.0f} us of CPU a request, {statistics.median(there):.0f} at {args.against}: "
+        f"{ratio:.3f} of it ({min(ratios):.3f} to {max(ratios):.3f}, {len(ratios)} pairs)"
+    )
+    if args.json:
+        args.json.write_text(json.dumps({"against": args.against, "ratios": ratios, "us": here, "us_there": there}, indent=1) + "\n")
+    return 0 if ratio <= args.most else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.revision import ROOT, module_of
+from benchmarks.revision import ROOT, packages_of
 from testbed.oracle import Demand, Supply, served_at_most
 
 STEPS = (0.5, 1.0, 1.5, 2.0, 3.0, 4.0)
@@ -60,7 +60,7 @@
     args = parser.parse_args()
     seeds = (1,) if args.quick else (1, 2, 3)
     rows: list[dict[str, Any]] = []
-    with module_of(args.against) as other, ThreadPoolExecutor(args.jobs) as pool:
+    with packages_of(args.against, "forkweir") as other, ThreadPoolExecutor(args.jobs) as pool:
         played = {
             (step, place): [pool.submit(night, place, step, seed) for seed in seeds]
             for step in reversed(STEPS)
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -90,7 +90,7 @@
             log.error("reload: %s; the old configuration stays in force", error)
             return
         log.info("reload: discovery is at %s:%d", *fresh.discovery)
-        if fresh.known != config.known or fresh.settings != config.settings or fresh.listen != config.listen:
+        if any(getattr(fresh, name) != getattr(config, name) for name in ("known", "settings", "listen", "admin")):
             log.info("reload: what else has changed waits for the next start")
         self.discovery.move(fresh.discovery)
 
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -66,6 +66,8 @@
     [
         ({"listen": "here"}, "listen"),
         ({"discovery": "127.0.0.1:8000"}, "discovery"),
+        ({"admin_addr": "9800"}, "admin_addr"),
+        ({"admin_addr": "127.0.0.1:8000"}, "admin_addr"),
         ({"seed": "xyz"}, "seed"),
         ({"settings": 5}, "settings"),
     ],
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -7,6 +7,7 @@
 import socket
 from pathlib import Path
 
+import pytest
 from loopback import CacheBox, good, play, request, status
 from test_process import Process, free_port, running
 
@@ -121,3 +122,38 @@
     play(test)
 
 
+@pytest.mark.parametrize(
+    ("more", "word"),
+    [
+        ({"PROXY_SOCKET_FD": "1"}, "PROXY_SOCKET_FD is not a descriptor: '1'"),
+        ({"PROXY_SOCKET_FD": "seven"}, "PROXY_SOCKET_FD is not a descriptor: 'seven'"),
+        ({"PROXY_ADMIN_ADDR": "9800"}, "not an address: '9800'"),
+    ],
+)
+def test_a_variable_that_can_not_be_ends_the_start_with_one_line(tmp_path: Path, more: dict[str, str], word: str) -> None:
+    async def test() -> None:
+        process = Process(tmp_path / "config.json", None)
+        process.write()
+        process.more = more
+        await process.start()
+        assert await process.process.wait() == 2
+        await process.reading
+        assert len(process.log) == 1 and word in process.log[0]
+
+    play(test)
+
+
+def test_an_operators_address_that_is_taken_is_named(tmp_path: Path) -> None:
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            process = Process(tmp_path / "config.json", None)
+            process.config["admin_addr"] = f"127.0.0.1:{taken.getsockname()[1]}"
+            process.write()
+            await process.start()
+            assert await process.process.wait() == 1
+            await process.reading
+            assert len(process.log) == 1 and process.config["admin_addr"] in process.log[0]
+
+    play(test)
+
+
