Tests: one way to write bytes on a new connection and read to its end

Found on a second reading: the tests of the operators' address wrote again what tests/loopback.py has.

--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -7,7 +7,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from loopback import CacheBox, Rig, good, play, request, rig, status, until
+from loopback import CacheBox, Rig, good, play, request, rig, send_to, status, until
 
 from corkshift.admin import Admin, Status
 from corkshift.admin.server import MOST
@@ -23,14 +23,7 @@
         self.admin.start()
 
     async def send(self, data: bytes) -> bytes:
-        reader, writer = await asyncio.open_connection(*self.admin.address)
-        try:
-            writer.write(data)
-            return await reader.read()
-        except ConnectionError:
-            return b""
-        finally:
-            writer.transport.abort()
+        return await send_to(self.admin.address, data)
 
     async def call(self, path: str, method: str = "GET") -> int:
         return status(await self.send(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -21,7 +21,7 @@
 from testbed.scripted import good, path_of, whole
 from testbed.serving import Connection, Message
 
-__all__ = ["CacheBox", "Registry", "Rig", "entry", "good", "path_of", "play", "request", "rig", "status", "until", "whole"]
+__all__ = ["CacheBox", "Registry", "Rig", "entry", "good", "path_of", "play", "request", "rig", "send_to", "status", "until", "whole"]
 
 PATIENCE_S = 30.0  # generous: what is waited for comes at once on an idle machine
 OPTIONS: dict[str, Any] = {
@@ -59,6 +59,18 @@
     return {**standins.Registry.entry(name, ("127.0.0.1", port)), "lifecycle": lifecycle}
 
 
+async def send_to(address: tuple[str, int], data: bytes) -> bytes:
+    """Write bytes on a new connection; all that comes back until the other side closes, nothing where it resets."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(data)
+        return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.transport.abort()
+
+
 class Registry(standins.Registry):
     """Discovery that knows these boxes; tests tell the rest."""
 
@@ -117,14 +129,7 @@
 
     async def send(self, data: bytes) -> bytes:
         """Write bytes on a new connection; all that comes back until the node closes."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        try:
-            writer.write(data)
-            return await reader.read()
-        except ConnectionError:
-            return b""
-        finally:
-            writer.transport.abort()
+        return await send_to(("127.0.0.1", self.port), data)
 
     async def ask(
         self, txn: str, more: str = "", path: str = "/api/k", lane: str = "read", method: str = "GET", body: bytes = b""
