The last chunk of a large answer has the same time limit as the others

Found on a second reading: the end mark of a chunked answer was written with no limit, so a client that takes nothing more, with the kernel's buffer just full, could hold its connection for good. One _write with the limit serves all three places. Broken is an OSError, which the connection ends on anyway, in place of being turned into one; a property that nothing read is gone.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -17,7 +17,7 @@
 from corkshift.messages import Answer, Call
 from corkshift.node import Node
 from corkshift.plain import WHOLE, Whole, request_head
-from corkshift.relay import Broken, Relay
+from corkshift.relay import Relay
 from corkshift.seam import Address, Socket, now_ms
 from corkshift.stream import CHUNK, Stream
 from forkweir.duty import ENDING, Duty
@@ -333,14 +333,18 @@
         try:
             sent = self._stream.push(data)
             if sent < len(data):
-                async with asyncio.timeout(WRITE_STALL_S):
-                    await self._stream.write(data[sent:])
+                await self._write(data[sent:])
         except BaseException:
             # An answer that stops short must not look whole.
             self._stream.abort()
             raise
         return keep
 
+    async def _write(self, data: bytes) -> None:
+        """Give the client bytes; TimeoutError where it takes too long over them."""
+        async with asyncio.timeout(WRITE_STALL_S):
+            await self._stream.write(data)
+
     async def _send_bulk(self, parser: Parser, answer: Answer, rest: Relay, keep: bool) -> bool:
         """Write an answer too large to hold as it comes; whether the connection goes on after it."""
         # A client of HTTP/1.0 knows no chunks: where the length is not known the connection's end tells it.
@@ -351,16 +355,13 @@
         try:
             while piece is not None:
                 data = b"%x\r\n%b\r\n" % (len(piece), piece) if chunked and piece else piece
-                async with asyncio.timeout(WRITE_STALL_S):
-                    await self._stream.write(head + data)
+                await self._write(head + data)
                 head = b""
                 piece = await rest.get()
             if chunked:
-                await self._stream.write(b"0\r\n\r\n")
-        except Broken:
-            self._stream.abort()  # the client must be able to tell
-            raise ConnectionAbortedError("the answer broke off") from None
+                await self._write(b"0\r\n\r\n")
         except BaseException:
+            # Broken among them: the client must be able to tell.
             self._stream.abort()
             raise
         finally:
--- a/corkshift/relay.py
+++ b/corkshift/relay.py
@@ -6,7 +6,7 @@
 from typing import Optional
 
 
-class Broken(Exception):
+class Broken(ConnectionAbortedError):
     """The side that reads the body gave up before its end."""
 
 
@@ -27,11 +27,6 @@
         self._room: Optional[asyncio.Future[None]] = None
         self._more: Optional[asyncio.Future[None]] = None
 
-    @property
-    def closed(self) -> bool:
-        """Whether nobody wants the rest."""
-        return self._closed
-
     # -- the writing side ----------------------------------------------------------------
 
     async def put(self, piece: bytes) -> bool:
