--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -282,10 +282,10 @@
         if request.write and not start:
             # A write finds nothing in its home's cache and goes through to the origin from any
             # server (guards against slow homes making the heaviest class late).
-            least = QUICKER * fleet.quickness(near[0])
+            least = QUICKER * fleet.speeds.quickness(near[0].info.kind)
             for step in range(1, len(near) if least else 0):
                 member = near[step]
-                if fleet.quickness(member) >= least and not member.strain and not fleet.is_cold(member, now):
+                if fleet.speeds.quickness(member.info.kind) >= least and not member.strain and not fleet.is_cold(member, now):
                     start = step
                     break
         for step in range(len(near)):
@@ -365,7 +365,7 @@
             member.out_until = max(member.out_until, now + request.spec.aim_ms)
         if member.account is not None and self.fleet.is_cold(member, now):
             self.allowances.pay(member.account, request.cost, request.spec.worth, now)
-        self.fleet.sent(member.info.zone, request.spec.aim_ms, now)
+        self.fleet.zones.sent(member.info.zone, request.spec.aim_ms, now)
         until = request.aim_at if request.spec.late_worth <= 0.0 and request.aim_at > now else request.deadline
         return ("attempt", request.id, member.info.name, max(self.settings.tick_ms, until - now))
 
@@ -393,7 +393,7 @@
             if status in HEARD:
                 member.waited, member.heard_ms = 0, now
             if status not in ("void", "withdrawn", "broken"):
-                self.fleet.zone_heard(member.info.zone, status, now)
+                self.fleet.zones.heard(member.info.zone, status, now)
             if status in ("success", "overloaded"):
                 self.fleet.took(member, status == "overloaded")
             held = self.held.get(request_id)
@@ -411,8 +411,8 @@
                     self.allowances.eased(member.account)
             if held is not None and held.spec.aim_ms and status in ("success", "timed_out"):
                 self._learn(status == "timed_out" or elapsed_ms > self.usual * held.spec.aim_ms)
-            if load:
-                self.fleet.report(member, load, now)
+            if load and not self.fleet.is_cold(member, now):
+                self.fleet.speeds.report(member.info.kind, member.pace, self.fleet.weight_of(member), load)
         request = self.held.get(request_id)
         if request is None:
             return []
@@ -539,6 +539,6 @@
     def on_probe(self, now: float, server: str, status: str, elapsed_ms: float, load: Optional[list[float]]) -> list[Action]:
         """A probe came back."""
         member = self.fleet.members.get(server)
-        if member is not None and load:
-            self.fleet.report(member, load, now)
+        if member is not None and load and not self.fleet.is_cold(member, now):
+            self.fleet.speeds.report(member.info.kind, member.pace, self.fleet.weight_of(member), load)
         return []
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -11,6 +11,8 @@
 from forkweir.allowance import Account
 from forkweir.line import digest
 from forkweir.settings import Server, Settings
+from forkweir.speeds import Pace, Speeds
+from forkweir.zones import Zones
 
 RANGES_PER_SERVER = 8  # ranges are at least this many times the servers they are dealt to
 SMALLEST_RANGES = 2048  # constant for every fleet up to 256, so nodes with other lists agree
@@ -22,12 +24,8 @@
 COLD_MARGIN = 0.8  # of the least capacity that the stated warm-up promises
 EJECT_MS = 1_000.0  # first ejection; doubles up to the longest
 EJECT_MAX_MS = 8_000.0
-PEER_EVIDENCE = 3.0  # busy seconds' worth of its kind's estimate that a server's own is held against
 WASH = 0.05  # of its good answers a server loses by each further strain in a row, for each unit of strain
 EASE = 0.6  # how much one good answer lightens the strain of bad ones
-CUT_AFTER = 4  # unanswered attempts in a row at one other zone: its links are held to be cut
-SILENT_AIMS = 2.0  # or as many out with no answer for this many times the aim, while the own zone answers
-CUT_MS = 1_000.0  # between two trials of a zone that is held to be cut off
 FAULTS_ROW = {"unreachable": 2, "broken": 3, "spoilt": 4}  # so many faults in a row, with no answer between: the server is out
 TURNED_STEP = 0.1  # weight of one outcome in the part of attempts that a server turns away
 CALM = 0.15  # a server that turns away less than this lately has room
@@ -56,8 +54,7 @@
         "trial",
         "out_until",
         "out_since",
-        "rate",
-        "busy",
+        "pace",
         "strain",
         "strain_ms",
         "slow_row",
@@ -81,8 +78,7 @@
         self.trial = -1  # the one request that a server that was put out gets at a time
         self.out_until = 0.0
         self.out_since = 0.0
-        self.rate = 0.0  # requests a second and busy cores, summed over reports
-        self.busy = 0.0
+        self.pace = Pace()
         self.strain = 0.0
         self.strain_ms = 0.0
         self.slow_row = 0
@@ -101,22 +97,15 @@
         "ring_at",
         "owners",
         "near",
-        "served",
-        "unheard",
-        "cut_until",
+        "zones",
+        "speeds",
         "placed",
         "stale",
         "dealt_ms",
         "dealt",
         "shares",
-        "kinds",
-        "best",
-        "rate_at",
-        "busy_at",
         "origin",
         "live",
-        "silent",
-        "heard_ms",
         "weight",
         "warm_weight",
         "warm_due",
@@ -130,23 +119,15 @@
         self.ring_at: list[int] = []
         self.owners: list[Member] = []
         self.near: dict[int, tuple[Member, ...]] = {}
-        self.served: dict[str, list[float]] = {}  # of a kind: hinted work and time taken by hits
-        self.unheard: dict[str, int] = {}  # attempts in a row that nothing in a zone answered
-        self.cut_until: dict[str, float] = {}
+        self.zones = Zones(settings.zone)
+        self.speeds = Speeds(settings)
         self.placed: list[Member] = []  # who may be home to ranges
         self.stale = False
         self.dealt_ms = 0.0
         self.dealt: list[Member] = []  # and who was, with these weights, when homes were last dealt
         self.shares: list[float] = []
-        self.kinds: dict[str, list[float]] = {}
-        self.best = 0.0  # capacity for each unit of weight of the quickest kind
-        columns = settings.columns
-        self.rate_at = columns.index("rate") if "rate" in columns else -1
-        self.busy_at = columns.index("busy") if "busy" in columns else -1
         self.origin: Optional[Member] = None
         self.live = 0
-        self.silent: dict[str, list[float]] = {}  # of a zone: attempts since it last answered, time of the first
-        self.heard_ms = 0.0  # when the own zone last answered
         self.weight = 0.0  # of all that are present,
         self.warm_weight = 0.0  # and of those that are warm and in use, counted at most every WARM_MS
         self.warm_due = 0.0
@@ -274,7 +255,7 @@
 
     def kept(self, member: Member, now: float) -> float:
         """The part of its ranges that a server takes now; neighbours get the rest."""
-        part = self._pace(member)
+        part = self.speeds.pace(member.info.kind, member.pace, self.weight_of(member))
         if self.is_cold(member, now):
             part *= COLD_MARGIN * self.ramp(member, now)
         if member.strain:
@@ -300,73 +281,18 @@
             self.warm_weight = sum(self.weight_of(m) for m in there if m.out_until <= now and not self.is_cold(m, now))
         return self.warm_weight
 
-    def _pace(self, member: Member) -> float:
-        """Capacity for each unit of weight, as a part of the quickest kind's."""
-        kind = self.kinds.get(member.info.kind)
-        if kind is None or self.best <= 0.0:
-            return 1.0
-        own = (member.rate + PEER_EVIDENCE * kind[0] / kind[1]) / (member.busy + PEER_EVIDENCE)
-        return min(1.0, own / self.weight_of(member) / self.best)
-
     def weight_of(self, member: Member) -> float:
         """The weight that the list gives a server, where the site's weights are of use."""
         return max(0.05, member.info.weight) if self.settings.weighted else 1.0
 
-    def report(self, member: Member, load: list[float], now: float) -> None:
-        """Learn speed from a load report: requests a second for each busy core."""
-        if self.rate_at < 0 or self.busy_at < 0 or len(load) <= max(self.rate_at, self.busy_at) or self.is_cold(member, now):
-            return
-        rate, busy = load[self.rate_at], load[self.busy_at]
-        if busy <= 0.02 or rate <= 0.0:
-            return
-        member.rate += rate
-        member.busy += busy
-        # Pooled by kind: a node among many meets one server too rarely to judge it alone.
-        kind = self.kinds.setdefault(member.info.kind, [0.0, 0.0, 0.0])
-        kind[0] += rate
-        kind[1] += busy
-        kind[2] += busy * self.weight_of(member)
-        self.best = max((k[0] / k[2] for k in self.kinds.values() if k[1] > 2.0), default=0.0)
-
     def usable(self, member: Member, now: float) -> bool:
         """Whether an attempt may go to a server at all."""
-        return member.present and member.out_until <= now and self.cut_until.get(member.info.zone, 0.0) <= now
+        return member.present and member.out_until <= now and not self.zones.cut(member.info.zone, now)
 
     def avoided(self, now: float) -> int:
         """How many servers of the list get nothing now because of how they did."""
         return sum(member.present and not self.usable(member, now) for member in self.members.values())
 
-    def quickness(self, member: Member) -> float:
-        """Hinted work done in a millisecond by servers of this one's kind, 0 while unknown."""
-        work, took = self.served.get(member.info.kind, (0.0, 0.0))
-        return work / took if took > 5000.0 else 0.0
-
-    def zone_heard(self, zone: str, status: str, now: float) -> None:
-        """Note whether a zone answers (guards against trying each server behind a cut link in turn)."""
-        if status not in ("unreachable", "timed_out"):
-            self.unheard[zone] = 0
-            self.silent.pop(zone, None)
-            if zone == self.settings.zone:
-                self.heard_ms = now
-            self.cut_until.pop(zone, None)
-            return
-        self.unheard[zone] = self.unheard.get(zone, 0) + 1
-        # Time-outs count, but overload brings them too: only a failed dial declares a cut.
-        if self.unheard[zone] >= CUT_AFTER and status == "unreachable" and zone != self.settings.zone:
-            self.cut_until[zone] = now + CUT_MS
-
-    def sent(self, zone: str, aim_ms: float, now: float) -> None:
-        """Note an attempt at a zone; one silent for long, while the own answers, is held to be cut off.
-
-        Guards against open connections over a cut link, on which each attempt waits for its whole time-out.
-        """
-        if zone == self.settings.zone:
-            return
-        silent = self.silent.setdefault(zone, [0.0, now])
-        silent[0] += 1.0
-        if silent[0] > CUT_AFTER and now - silent[1] > SILENT_AIMS * aim_ms and self.heard_ms > silent[1]:
-            self.cut_until[zone] = now + CUT_MS
-
     def strained(self, member: Member, now: float, more: float, slow: bool = False) -> None:
         """Note a slow answer or none (or, with 0, a good one): fewer of its keys for a while (guards against a jam fed for ever)."""
         fade = exp((member.strain_ms - now) / STRAIN_MS)
--- a/forkweir/gate.py
+++ b/forkweir/gate.py
@@ -5,7 +5,7 @@
 from math import exp
 from typing import Optional
 
-from forkweir.fleet import CUT_AFTER, STRAIN_MS, Fleet, Member
+from forkweir.fleet import STRAIN_MS, Fleet, Member
 from forkweir.request import Request
 from forkweir.settings import Settings
 
@@ -70,7 +70,7 @@
                 or (
                     status == "timed_out"
                     and (self.slow > JAM or member.strain * exp((member.strain_ms - now) / STRAIN_MS) < 1.0)
-                    and (member.info.zone == self.settings.zone or self.fleet.unheard.get(member.info.zone, 0) < CUT_AFTER)
+                    and not self.fleet.zones.quiet(member.info.zone)
                 )
             )
         ):
@@ -111,9 +111,7 @@
                     self.fleet.strained(member, now, blame, late)
         elif status == "success" and note == 1 and aim:
             if work:
-                served = self.fleet.served.setdefault(member.info.kind, [0.0, 0.0])
-                served[0] += work
-                served[1] += elapsed_ms
+                self.fleet.speeds.hit(member.info.kind, work, elapsed_ms)
             if slow:
                 self.fleet.strained(member, now, 0.5 * max(0.05, 1.0 - 5.0 * self.slow), True)
             else:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,8 +1,8 @@
 """Each failure found has its small test here."""
 
 from forkweir.choice import Balancer
-from forkweir.fleet import CUT_AFTER
 from forkweir.settings import ClassSpec, Server, Settings
+from forkweir.zones import CUT_AFTER
 
 READ = ClassSpec("read", aim_ms=300, deadline_ms=1000)
 
@@ -109,7 +109,7 @@
         # Kind "q" (odd servers) serves hits in half the time of kind "f".
         balancer.on_outcome(90.0, 10_000 + n, 0, True, "success", home, 60.0 if int(home[1:]) % 2 else 120.0, 1)
     assert not balancer.held
-    balancer.fleet.served = {"f": [9000.0, 9000.0], "q": [9000.0, 6000.0]}
+    balancer.fleet.speeds.served = {"f": [9000.0, 9000.0], "q": [9000.0, 6000.0]}
     sent = [balancer.on_request(100.0, 50_000 + n, "read", f"k{n}", 1000.0, write=True)[0] for n in range(400)]
     writes = [action[2] for action in sent if action[0] == "attempt"]
     assert len(writes) == 400
