--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -46,6 +46,8 @@
 HEDGE_LEAST = 0.5  # but not before this part of its aim,
 HEDGE_MOST = 0.7  # and not at all where that is later than this part
 HEDGE_LEARN = 0.02  # weight of one outcome in the judgement of how long that is
+TRIAL_PART = 0.35  # and what tries a server that was found to be bad after this part
+LONG = 0.5  # an attempt that had this part of the aim tells of its server
 HEDGE_STEP_MS = 5.0  # between two looks at which are
 COLD_LOOKS = 8  # servers beyond a range's neighbours that are asked for room where all are cold
 HEARD = frozenset({"success", "overloaded", "failure", "absent", "spoilt", "broken"})  # something came back
@@ -81,7 +83,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
-        self.fleet = Fleet(settings)
+        self.fleet = Fleet(settings, seed)
         self.line = Line(self.fleet.ranges)
         self.held: dict[int, Request] = {}
         self.classes = {spec.name: spec for spec in settings.classes}
@@ -213,7 +215,8 @@
         """Note when a request will have been out for long, and see to it that somebody looks."""
         if request.spec.repeat == "unsafe":
             return []
-        due = now + min(max(HEDGE_LEAST, self.usual), HEDGE_MOST) * request.spec.aim_ms
+        trial = request.servers[-1].trial == request.id
+        due = now + (TRIAL_PART if trial else min(max(HEDGE_LEAST, self.usual), HEDGE_MOST)) * request.spec.aim_ms
         if due >= request.aim_at:
             return []
         heappush(self.waits, (due, request.id))
@@ -248,9 +251,12 @@
         last = max(request.out)
         member = request.servers[last]
         calm = self.gate.origin_slow <= ORIGIN_SLOW
-        if member.trial == request.id or calm and self.fleet.silent_for(member, request.sent[last], request.spec.aim_ms, now):
+        trial = member.trial == request.id and not member.strikes
+        struck = member.trial == request.id and member.strikes > 0
+        if struck or calm and not trial and self.fleet.silent_for(member, request.sent[last], request.spec.aim_ms, now):
             self.fleet.strike(member, now)
-        if self.bank < 1.0 or self.usual > HEDGE_MOST or not calm or request.tries >= self.settings.max_attempts:
+        unfit = self.bank < 1.0 or self.usual > HEDGE_MOST or not calm
+        if (unfit and not trial) or request.tries >= self.settings.max_attempts:
             return []
         alive = member.heard_ms > request.sent[last] and self.fleet.usable(member, now)
         target = member if alive and self._has_room(member, request, now) else self._pick(request, now)
@@ -260,7 +266,7 @@
             request.ran, request.first_ran = member, request.sent[last]
         if not self._may_repeat(request, target, now):
             return []
-        self.bank -= 1.0
+        self.bank -= not trial
         return [self._send(request, target, now)]
 
     def _pick(self, request: Request, now: float) -> Optional[Member]:
@@ -358,7 +364,7 @@
         request.tries += 1
         request.servers.append(member)
         request.sent.append(now)
-        if member.strikes:
+        if member.strikes or member.record.row:
             # One at a time goes to a server that was put out, until it answers (guards against all its keys falling on one
             # that is still dead each time its time is up).
             member.trial = request.id
@@ -384,11 +390,12 @@
         """An attempt ended."""
         member = self.fleet.members.get(server)
         if member is not None:
+            trial = member.trial == request_id
             if status in ("success", "overloaded", "failure", "absent"):
                 self.fleet.proved(member, now)
             elif status in FAULTS_ROW:
                 self.fleet.fault(member, status, now)
-            elif status == "timed_out" and member.trial == request_id:
+            elif status == "timed_out" and trial and member.strikes:
                 self.fleet.strike(member, now)
             if status in HEARD:
                 member.waited, member.heard_ms = 0, now
@@ -398,7 +405,8 @@
                 self.fleet.took(member, status == "overloaded")
             held = self.held.get(request_id)
             missed = held.fetches.get(attempt, (0.0, False))[0] if held is not None else 0.0
-            self.gate.judge(member, status, note, elapsed_ms, held, now, missed)
+            bad = self._doubted(held, attempt, member, status, elapsed_ms, trial, now) if held is not None else 0.0
+            self.gate.judge(member, status, note, elapsed_ms, held, now, missed, bad)
             if held is not None and status == "success" and not self.fleet.is_cold(member, now):
                 if note <= 1 and not held.work:
                     self.costs.learn(held.spec, elapsed_ms)
@@ -472,6 +480,18 @@
         elif not jammed and (status == "failure" or (status == "timed_out" and expected > PASS)):
             fetches.judge(None, now)
 
+    def _doubted(
+        self, request: Request, attempt: int, member: Member, status: str, elapsed_ms: float, trial: bool, now: float
+    ) -> float:
+        """How likely a server is bad, as far as an attempt tells: not one that was turned away, or had little time."""
+        known = request.fetches.get(attempt, (0.0, False))[1]
+        sort = "write" if request.write else "cold" if self.fleet.is_cold(member, now) else "known" if known else "unknown"
+        late = elapsed_ms > LONG * request.spec.aim_ms
+        if status == "success" or status == "failure" or (late and status in ("timed_out", "withdrawn")):
+            wrong = status != "success" or elapsed_ms > request.spec.aim_ms
+            return self.fleet.doubted(member, sort, wrong, trial, now)
+        return 0.0
+
     def _settle(self, request: Request) -> None:
         """A request is over: nothing of it is expected of the origin any more."""
         for expected, _ in request.fetches.values():
@@ -489,6 +509,7 @@
             member = request.servers[n]
             if n < winner:
                 self._learn(True)
+                self._doubted(request, n, member, "withdrawn", now - request.sent[n], member.trial == request.id, now)
             if n < winner and self.gate.origin_slow < ORIGIN_SLOW and member is not request.servers[winner]:
                 self.fleet.strained(member, now, self.gate.blame(), True)
 
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -9,6 +9,7 @@
 from typing import Optional
 
 from forkweir.allowance import Account
+from forkweir.doubt import MOST_OUT, Doubts, Record
 from forkweir.line import digest
 from forkweir.settings import Server, Settings
 from forkweir.speeds import Pace, Speeds
@@ -46,7 +47,6 @@
         "told_ms",
         "strikes",
         "faults",
-        "errors",
         "turned",
         "waited",
         "waited_ms",
@@ -60,6 +60,7 @@
         "slow_row",
         "good",
         "account",
+        "record",
     )
 
     def __init__(self, info: Server) -> None:
@@ -70,7 +71,6 @@
         self.told_ms = info.started_ms  # as the list last had it
         self.strikes = 0
         self.faults = 0  # in a row
-        self.errors = 0  # in a row
         self.turned = 0.0  # part of late attempts that it turned away
         self.waited = 0  # requests out for long, in a row,
         self.waited_ms = 0.0  # and when the first of them was sent
@@ -84,6 +84,7 @@
         self.slow_row = 0
         self.good = 0.0
         self.account: Optional[Account] = None  # what it may get while it is cold
+        self.record = Record()  # of how it did
 
 
 class Fleet:
@@ -109,10 +110,12 @@
         "weight",
         "warm_weight",
         "warm_due",
+        "doubts",
     )
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, seed: int = 0) -> None:
         self.settings = settings
+        self.doubts = Doubts(seed)
         self.members: dict[str, Member] = {}
         self.ranges = SMALLEST_RANGES
         self.ring: list[Member] = []
@@ -154,6 +157,7 @@
                 # The same server started again: whatever was held against it is over.
                 member.strikes = 0
                 member.waited, member.trial = 0, -1
+                member.record.clear()
                 member.out_until = 0.0
                 member.warm_ms = info.started_ms
                 member.account = None
@@ -359,6 +363,20 @@
             return False
         return sum(1 for other in self.placed if other.present and other.out_until > now) < SILENT_MOST * self.live
 
+    def doubted(self, member: Member, sort: str, wrong: bool, trial: bool, now: float) -> float:
+        """Note how an attempt went; how likely its server is bad. One that is is kept out, but for trials, where most are not."""
+        common = wrong and sum(m.present and m.record.bad for m in self.placed) > MOST_OUT * self.live
+        bad = self.doubts.judge(member.record, sort, wrong, now, common)
+        if common:
+            for other in self.placed:
+                if other.record.row and not other.strikes:
+                    other.out_until, other.record.row = 0.0, 0
+        elif wrong and member.record.bad and (trial or not member.record.row):
+            member.out_until = max(member.out_until, now + self.doubts.wait(member.record))
+        elif not wrong and not member.strikes:
+            member.out_until = 0.0
+        return bad
+
     def proved(self, member: Member, now: float) -> None:
         """Note an attempt that the server answered."""
         member.faults = 0
--- a/forkweir/gate.py
+++ b/forkweir/gate.py
@@ -25,7 +25,6 @@
 JAM = 0.3  # and with most of the fleet jammed
 BAD_STEP = 0.02  # weight of one outcome in the part that goes wrong
 GATE_STEP_MS = 200.0  # between two shuts (guards against one burst of time-outs, as when links are cut)
-OWN_ERRORS = 3  # in a row, with no good answer between: more of them are the server's own and not the origin's
 
 
 class Gate:
@@ -45,9 +44,13 @@
         self.slow = 0.0  # part of late hits that were slow
 
     def judge(
-        self, member: Member, status: str, note: int, elapsed_ms: float, request: Optional[Request], now: float, missed: float
-    ) -> None:
-        """Tell a slow server from a slow origin by hits and misses. missed: how likely the attempt was to miss, 0 to 1."""
+        self, member: Member, status: str, note: int, elapsed_ms: float, request: Optional[Request], now: float, missed: float,
+        bad: float = 0.0,
+    ) -> None:  # fmt: skip
+        """Tell a slow server from a slow origin by hits and misses.
+
+        missed, bad: how likely the attempt was to miss, and its server to be bad, 0 to 1.
+        """
         aim = request.spec.aim_ms if request is not None else 0.0
         work = request.work if request is not None else 0.0
         if status == "success":
@@ -69,6 +72,7 @@
                 (status == "overloaded" and request is not None and request.tries > 1)
                 or (
                     status == "timed_out"
+                    and bad <= 0.5
                     and (self.slow > JAM or member.strain * exp((member.strain_ms - now) / STRAIN_MS) < 1.0)
                     and not self.fleet.zones.quiet(member.info.zone)
                 )
@@ -84,17 +88,16 @@
         # servers that are no better, which turns hits into misses).
         slow = status == "success" and note == 1 and elapsed_ms > SLOW_HIT * aim + 2.0 * work and aim > 0.0
         if status in ("success", "timed_out", "overloaded"):
-            self.bad += BAD_STEP * ((status != "success") - self.bad)
+            self.bad += BAD_STEP * (1.0 - bad) * ((status != "success") - self.bad)
         if status in ("success", "timed_out", "overloaded", "failure"):
             self.hits += BAD_STEP * ((status == "success" and note == 1) - self.hits)
         if status == "success" and note == 1:
             self.slow += BAD_STEP * (slow - self.slow)
-        member.errors = member.errors + 1 if status == "failure" else 0 if status == "success" else member.errors
-        # One server that fails whatever it is asked tells nothing of the origin (guards against a gate shut for all by the
-        # quick errors of one). An origin in trouble shows at many servers, a few errors at each.
-        if (status == "failure" and member.errors <= OWN_ERRORS) or note >= 2:
+        # A bad server tells nothing of the origin (guards against a gate shut for all by the quick errors of a few). An origin in
+        # trouble shows at many servers.
+        if status == "failure" or note >= 2:
             part = 1.0 if status == "failure" or not aim else min(1.0, elapsed_ms / aim)
-            self.origin_slow += ORIGIN_STEP * (part - self.origin_slow)
+            self.origin_slow += ORIGIN_STEP * (1.0 - bad) * (part - self.origin_slow)
             # An origin that is down with empty caches before it gets no further while most keys are
             # misses (guards against a collapse that outlasts its cause).
             if self.origin_slow > ORIGIN_DOWN and self.hits < FEW_HITS:
