--- a/forkweir/allowance.py
+++ b/forkweir/allowance.py
@@ -17,10 +17,16 @@
 allowance is cut by PRESSED (once in PRESSED_MS, to LEAST_TRUST at the least), and each good answer gives EASED of it back.
 So a node also makes room where others take more than their part.
 
+What is too little shows as well: the stated ramp is the least that a server does, and most do more. A node among many hears
+too little of one cold server to judge it alone, so what it finds is pooled over all of them: each good answer of a cold
+server adds MORE to a boost of all their allowances, up to MOST_BOOST (half of what makes one fall at the usual multiple),
+and each one that is too much takes a tenth of it away.
+
 The allowance is a token bucket: it fills with time and is paid at dispatch by every attempt alike, whether read, write,
-repeat or second request. It holds BURST_MS of its rate (or one request, where that is more), so what queued up while the
-node stood still is not let out at once. It begins with a part of one request drawn from the seed: 37 nodes that hear of a
-start in the same moment do not all send one.
+repeat or second request. It holds BURST_MS of its rate (or DEPTH requests, where that is more: a node that has a request for
+a server every few seconds finds a bucket of one empty as often as not), so what queued up while the node stood still is not
+let out at once. It begins with a part of one request drawn from the seed: of any number of nodes that hear of a start in the
+same moment, the first requests come at the pace of all their rates together, and none at once.
 
 Who goes first: a class that is worth less leaves a part of the bucket to those that are worth more, for STARVED_MS at the
 longest. Bounds: five floats a server.
@@ -43,6 +49,10 @@
 EASED = 0.03
 LEAST_TRUST = 0.1
 BURST_MS = 250.0
+DEPTH = 2.0  # requests
+MOST_BOOST = 2.0  # of a multiple of 4 or more that makes one fall
+MORE = 0.08  # of the boost for one good answer: some 13 of them, all cold servers together, make the most of it
+LESS = 0.9
 RESERVE = 0.5  # of the bucket is left to the class worth most by one worth nothing
 STARVED_MS = 1_000.0
 SAFE_MULTIPLE = 4.0  # the multiple for which the whole part is taken; a stricter one takes less
@@ -64,11 +74,12 @@
 class Allowances:
     """What cold servers may get from this node."""
 
-    __slots__ = ("part", "_asked", "_borne", "_most_worth", "_random")
+    __slots__ = ("part", "boost", "_asked", "_borne", "_most_worth", "_random")
 
     def __init__(self, fall_multiple: float, most_worth: float, seed: int) -> None:
         self._random = random.Random(f"allowance/{seed}")
         self.part = min(1.0, fall_multiple / SAFE_MULTIPLE)
+        self.boost = 1.0  # of all allowances, as cold servers bear more than they must
         self._asked = Faded(ASKED_MS)
         self._borne = Faded(PROVEN_MS)
         self._most_worth = max(most_worth, 1e-9)
@@ -90,14 +101,18 @@
         proven = self._borne.rate(EVIDENCE_MS)
         return max(proven, min(asked, BEYOND * proven))
 
-    def open(self, now: float, cost: float) -> Account:
-        """The account of a server of whose start the node has just heard."""
-        return Account(self._random.random() * cost, now)
+    def open(self, now: float, cost: float, rate: float = 0.0, since: float = 0.0) -> Account:
+        """The account of a server of whose start the node heard at `since`: it has filled from then on, at a rate that grew evenly.
+
+        Guards against accounts that begin with the first request for a server, at a node that has one every few seconds.
+        """
+        filled = 0.5 * rate * self.part * max(0.0, now - since) if rate else 0.0
+        return Account(min(DEPTH * cost, self._random.random() * cost + filled), now)
 
     def has(self, account: Account, rate: float, cost: float, worth: float, now: float) -> bool:
         """Whether a request may be sent. rate: what the server may get now, in work a ms."""
-        rate *= self.part * account.trust
-        most = max(rate * BURST_MS, cost)
+        rate *= self.part * account.trust * self.boost
+        most = max(rate * BURST_MS, DEPTH * cost)
         account.level = min(most, account.level + rate * max(0.0, now - account.at))
         account.at = now
         left = min(RESERVE * (1.0 - worth / self._most_worth) * most, most - cost)
@@ -108,7 +123,7 @@
 
     def opens_in(self, account: Account, rate: float, cost: float, now: float) -> float:
         """How long until the bucket holds a request's cost, in ms, if nobody else takes from it."""
-        rate *= self.part * account.trust
+        rate *= self.part * account.trust * self.boost
         level = account.level + rate * max(0.0, now - account.at)
         return max(0.0, cost - level) / rate if rate > 0.0 else 1e9
 
@@ -123,7 +138,9 @@
         if now - account.pressed_ms >= PRESSED_MS:
             account.pressed_ms = now
             account.trust = max(LEAST_TRUST, PRESSED * account.trust)
+            self.boost = max(1.0, LESS * self.boost)
 
     def eased(self, account: Account) -> None:
         """The server answered in time."""
         account.trust = min(1.0, account.trust + EASED)
+        self.boost = min(MOST_BOOST, self.boost + MORE)
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -340,9 +340,10 @@
         fleet = self.fleet
         if not fleet.is_cold(member, now):
             return True
+        rate = self._cold_rate(member, now)
         if member.account is None:
-            member.account = self.allowances.open(now, request.cost)
-        return self.allowances.has(member.account, self._cold_rate(member, now), request.cost, request.spec.worth, now)
+            member.account = self.allowances.open(now, request.cost, rate, member.known_ms)
+        return self.allowances.has(member.account, rate, request.cost, request.spec.worth, now)
 
     def _cold_rate(self, member: Member, now: float) -> float:
         """What a cold server may get now, in work a ms."""
@@ -412,7 +413,7 @@
                     self.costs.learn(held.spec, elapsed_ms)
                 if elapsed_ms <= held.spec.aim_ms:
                     self.allowances.borne(held.cost)
-            if member.account is not None and held is not None:
+            if member.account is not None and held is not None and self.fleet.is_cold(member, now):
                 if status in ("overloaded", "timed_out") or (status == "success" and elapsed_ms > held.spec.aim_ms):
                     self.allowances.pressed(member.account, now)
                 elif status == "success":
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -22,7 +22,6 @@
 ROOM = 1.12  # a server may be home to this times its exact share of ranges
 NEIGHBOURS = 8  # servers known ahead for a range, home included
 HOLD_MS = 30_000.0  # a server that vanished undrained keeps its ranges this long
-COLD_MARGIN = 0.8  # of the least capacity that the stated warm-up promises
 EJECT_MS = 1_000.0  # first ejection; doubles up to the longest
 EJECT_MAX_MS = 8_000.0
 WASH = 0.05  # of its good answers a server loses by each further strain in a row, for each unit of strain
@@ -45,6 +44,7 @@
         "gone_ms",
         "warm_ms",
         "told_ms",
+        "known_ms",
         "strikes",
         "faults",
         "turned",
@@ -69,6 +69,7 @@
         self.gone_ms = 0.0
         self.warm_ms = info.started_ms
         self.told_ms = info.started_ms  # as the list last had it
+        self.known_ms = 0.0  # when the node heard of its start
         self.strikes = 0
         self.faults = 0  # in a row
         self.turned = 0.0  # part of late attempts that it turned away
@@ -150,7 +151,7 @@
                 if info.state == "gone":
                     continue
                 member = self.members[info.name] = Member(info)
-                member.told_ms = told
+                member.told_ms, member.known_ms = told, now
                 continue
             member.told_ms = told
             if info.started_ms != member.info.started_ms:
@@ -159,7 +160,7 @@
                 member.waited, member.trial = 0, -1
                 member.record.clear()
                 member.out_until = 0.0
-                member.warm_ms = info.started_ms
+                member.warm_ms, member.known_ms = info.started_ms, now
                 member.account = None
             was, drained = member.present, member.info.state == "draining"
             member.info = info
@@ -258,10 +259,8 @@
         return self.placed[turn:] + self.placed[:turn]
 
     def kept(self, member: Member, now: float) -> float:
-        """The part of its ranges that a server takes now; neighbours get the rest."""
+        """The part of its ranges that a server takes now; neighbours get the rest. Of a cold one the allowance takes its part too."""
         part = self.speeds.pace(member.info.kind, member.pace, self.weight_of(member))
-        if self.is_cold(member, now):
-            part *= COLD_MARGIN * self.ramp(member, now)
         if member.strain:
             fade = exp((member.strain_ms - now) / STRAIN_MS)
             part /= 1.0 + member.strain * fade / (1.0 + EASE * member.good * fade)
@@ -385,7 +384,7 @@
             # Back from the dead without word from the list: it may be cold (guards against
             # a full range falling on a server whose restart the list has yet to tell).
             if member.out_until and now - member.out_since > 2000.0:
-                member.warm_ms = now
+                member.warm_ms = member.known_ms = now
                 member.account = None
             member.strikes = 0
             member.out_until = 0.0
