--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -22,7 +22,8 @@
 log = logging.getLogger(__name__)
 
 STATES = {"in_service": "in", "terminating": "draining", "terminated": "gone"}
-CALL_S = 1.6  # a call that is not answered by then has failed (what it would tell counts as told soon after)
+CALL_S = 3.2  # a call that is not answered by then has failed; twice as long after each one that was not answered at all,
+CALL_MOST_S = 6.4  # and no longer (what it would tell counts as told by then)
 SILENT_S = 4.3  # more than two heartbeats: the watch has fallen silent,
 STUCK_S = 1.0  # or has stopped in the middle of a line
 MAX_LINE = 1 << 20
@@ -44,6 +45,7 @@
         self._address = address
         self._generation: Optional[int] = None
         self._watch: Optional[asyncio.Task[None]] = None
+        self._patience_s = CALL_S
 
     def start(self, known: dict[str, Any]) -> None:
         """Begin with the list as this node last had it."""
@@ -90,16 +92,24 @@
         sock = seam.stream()
         stream = None
         try:
-            async with asyncio.timeout(CALL_S):
-                await seam.connect(sock, self._address)
-                stream = Stream(sock)
-                after = "" if self._generation is None else f"&after={self._generation}"
-                parser = h11.Connection(h11.CLIENT)
-                target = f"/discovery/hosts?watch=1{after}"
-                request = h11.Request(method="GET", target=target, headers=[("Host", f"{self._address[0]}:{self._address[1]}")])
-                await stream.write(parser.send(request) + parser.send(h11.EndOfMessage()))
-                while isinstance(event := await _event(parser, stream), h11.InformationalResponse):
-                    pass
+            # One service answers all nodes in turn, and a call that is hung up on keeps its turn (guards against a fleet that
+            # asks anew, over and over, for what each of its nodes would have been told a moment later). Harm: one that is
+            # silent for good is found so later.
+            try:
+                async with asyncio.timeout(self._patience_s):
+                    await seam.connect(sock, self._address)
+                    stream = Stream(sock)
+                    after = "" if self._generation is None else f"&after={self._generation}"
+                    parser = h11.Connection(h11.CLIENT)
+                    target = f"/discovery/hosts?watch=1{after}"
+                    request = h11.Request(method="GET", target=target, headers=[("Host", f"{self._address[0]}:{self._address[1]}")])
+                    await stream.write(parser.send(request) + parser.send(h11.EndOfMessage()))
+                    while isinstance(event := await _event(parser, stream), h11.InformationalResponse):
+                        pass
+            except TimeoutError:
+                self._patience_s = min(CALL_MOST_S, 2.0 * self._patience_s)
+                raise
+            self._patience_s = CALL_S
             if not isinstance(event, h11.Response) or event.status_code != 200:
                 raise BadList(f"answered {event!r:.80}")
             part = b""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import Any
 
+import pytest
 from loopback import CacheBox, entry, play, rig, status, until
 
+from corkshift import discovery
 from forkweir.choice import Balancer
 from forkweir.fleet import HOLD_MS
 from forkweir.settings import Server, Settings
@@ -77,3 +80,46 @@
     balancer.on_list(2.0, "full", [Server("s0")])
     balancer.on_list(HOLD_MS + 3.0, "full", [Server("s0")])
     assert list(balancer.fleet.members) == ["s0"]
+
+
+def test_who_asks_a_busy_service_does_not_hang_up_for_ever_before_its_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a fleet whose nodes all hang up on one overbooked service, ask anew, and are never told anything.
+    monkeypatch.setattr(discovery, "CALL_S", 0.05)
+    monkeypatch.setattr(discovery, "CALL_MOST_S", 1.6)
+    waited: list[float] = []
+
+    class Told:
+        def __init__(self) -> None:
+            self.servers: dict[str, Any] = {}
+            self.forms: list[str] = []
+
+        def on_list(self, form: str, entries: list[Server]) -> None:
+            self.forms.append(form)
+
+    async def turn(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        begin = asyncio.get_running_loop().time()
+        hung_up = asyncio.create_task(reader.read())
+        await asyncio.wait([hung_up], timeout=0.3)  # the others' turns
+        waited.append(asyncio.get_running_loop().time() - begin)
+        if not hung_up.done():
+            line = json.dumps({"generation": 1, "reset": True, "instances": [entry("s0", 1)]}).encode() + b"\n"
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(line), line))
+        await hung_up
+        writer.close()
+
+    async def test() -> None:
+        service = await asyncio.start_server(turn, "127.0.0.1", 0)
+        told = Told()
+        asking = discovery.Discovery(told, None, service.sockets[0].getsockname()[:2])  # type: ignore[arg-type]
+        while "full" not in told.forms:
+            asking.follow()
+            count = len(told.forms)
+            await until(lambda: len(told.forms) > count)  # noqa: B023
+        assert told.forms == ["failed"] * 3 + ["full"]  # 0.05, 0.1 and 0.2 s were too short
+        assert asking._patience_s == 0.05  # once answered it is as patient as at first
+        assert asking._watch is not None
+        asking._watch.cancel()
+        service.close()
+
+    play(test)
