Failures tell of the origin as far as a miss was likely; quick errors are repeated

Yet the origin's judgement stands at 0.6 to 0.74, which stops repeats (bank full, 10 of 10, for ten seconds) and, past ORIGIN_DOWN with few hits, shuts the gate to a tenth: 30 to 50% refused.

Cause: Gate.judge held every failure beside misses alone (origin_slow += ORIGIN_STEP * (1 - bad)), though a server that fails what it is asked fails hits as well. MOST_OUT in forkweir/doubt.py let all bad servers in again as soon as a third seemed bad. And the savings for repeats, made for lost work, last one second of such errors.

Change: a failure counts by how likely a miss was; many bad servers count as a trouble of all only where the others do badly too; savings are a module (forkweir/savings.py), with an account for errors that came within a quarter of the aim.

--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -27,6 +27,7 @@
 )
 from forkweir.line import Line, position_of
 from forkweir.request import Request
+from forkweir.savings import ERRORS, REPEATS, Savings
 from forkweir.settings import (
     Action,
     ClassSpec,
@@ -35,8 +36,7 @@
 )
 from forkweir.work import Costs
 
-RETRY_SHARE = 0.1  # retries earned by each request
-RETRY_BANK = 10.0  # and saved up at most
+QUICK = 0.25  # an error that comes within this part of its request's aim has cost next to nothing
 PROBE_MS = 500.0  # between probes, where load reports come with probes alone
 FIRST_PROBES = 20  # at the start, at five times that pace
 WRITE_TRIAL = 0.05  # part of the writes that go on to try it
@@ -65,7 +65,8 @@
         "held",
         "classes",
         "turn",
-        "bank",
+        "repeats",
+        "errors",
         "probes",
         "gate",
         "least_worth",
@@ -89,7 +90,8 @@
         self.classes = {spec.name: spec for spec in settings.classes}
         self.fallback = ClassSpec("", repeat="unsafe")
         self.turn = 0
-        self.bank = RETRY_BANK
+        self.repeats = Savings(REPEATS)
+        self.errors = Savings(ERRORS)
         self.probes = 0
         self.gate = Gate(settings, self.fleet)
         self.least_worth = min((spec.worth for spec in settings.classes if spec.worth > 0.0), default=1.0)
@@ -172,7 +174,8 @@
         request = Request(request_id, spec, key, position, min(aim_at, deadline), deadline, work_ms, write)
         request.cost = self.costs.of(spec, work_ms)
         self.allowances.asked(now, request.cost, self.fleet.warm(now))
-        self.bank = min(RETRY_BANK, self.bank + RETRY_SHARE)
+        self.repeats.earn()
+        self.errors.earn()
         if key is not None:
             self.line.arrive(position, key)
         if self.settings.aside and write:
@@ -255,7 +258,7 @@
         trial = tried and not member.strikes  # of a server that is in doubt; the others were struck
         if not trial and (tried or calm and self.fleet.silent_for(member, request.sent[last], request.spec.aim_ms, now)):
             self.fleet.strike(member, now)
-        unfit = self.bank < 1.0 or self.usual > HEDGE_MOST or not calm
+        unfit = not self.repeats.enough or self.usual > HEDGE_MOST or not calm
         if (unfit and not trial) or request.tries >= self.settings.max_attempts:
             return []
         alive = member.heard_ms > request.sent[last] and self.fleet.usable(member, now)
@@ -266,7 +269,8 @@
             request.ran, request.first_ran = member, request.sent[last]
         if not self._may_repeat(request, target, now):
             return []
-        self.bank -= not trial
+        if not trial:
+            self.repeats.spend()
         return [self._send(request, target, now)]
 
     def _pick(self, request: Request, now: float) -> Optional[Member]:
@@ -456,10 +460,13 @@
         hopeful = request.ran is None or again is not None or self.gate.origin_slow <= ORIGIN_SLOW
         # While little else goes wrong, faults do not come of load and need no savings (guards against a bank emptied by resets).
         free = fault and self.gate.bad < USUAL_BAD
-        if hopeful and left > 0.25 * request.spec.aim_ms and request.tries < self.settings.max_attempts and (free or self.bank >= 1.0):
+        cheap = status == "failure" and elapsed_ms < QUICK * request.spec.aim_ms
+        savings = self.errors if cheap else self.repeats
+        if hopeful and left > 0.25 * request.spec.aim_ms and request.tries < self.settings.max_attempts and (free or savings.enough):
             target = again or self._pick(request, now)
             if target is not None and (again or target not in request.servers) and self._may_repeat(request, target, now):
-                self.bank -= not free
+                if not free:
+                    savings.spend()
                 return [self._send(request, target, now)]
         return [self._end(request, now)]
 
--- a/forkweir/doubt.py
+++ b/forkweir/doubt.py
@@ -14,7 +14,7 @@
 
 A server that is probably bad is kept out, and tried by one request at a time after a wait that doubles from TRIAL_MS and is
 spread by the seed (guards against all nodes of a fleet trying it at once). Where more than MOST_OUT of the servers seem bad
-it is no trouble of single servers: nobody is kept out for it.
+and the others do badly as well, or more than MOST_ALONE seem bad, it is no trouble of single servers: nobody is kept out for it.
 
 Bounds: four floats a server, two for each sort of attempt; one attempt moves the usual part by less than 1 / STRENGTH.
 """
@@ -35,7 +35,9 @@
 TRIAL_MS = 1_500.0  # until a server that was found to be bad is tried again; doubles
 TRIAL_MOST_MS = 12_000.0
 SPREAD = 0.5  # of that wait is drawn
-MOST_OUT = 0.34  # of the servers
+MOST_OUT = 0.34  # of the servers,
+MOST_ALONE = 0.6  # but so many where those that do not seem bad do well:
+COMMON = 0.2  # where less than this part of their attempts goes wrong
 
 PRIOR_ODDS = log(PRIOR / (1.0 - PRIOR))
 
@@ -74,6 +76,14 @@
         wrong, all_ = self._seen.get(sort, (0.0, 0.0))
         return min(MOST_USUAL, max(LEAST_USUAL, (USUAL * STRENGTH + wrong) / (STRENGTH + all_)))
 
+    def common(self, sort: str, share: float) -> bool:
+        """Whether it is no trouble of single servers: so large a share seems bad, and the others do badly as well.
+
+        Where the others do well, it is many servers' own trouble, however many (guards against half a fleet that fails and gets
+        its keys all the same). Harm: beyond MOST_ALONE what is left could not serve the keys of all.
+        """
+        return share > MOST_OUT and (share > MOST_ALONE or self.usual(sort) > COMMON)
+
     def judge(self, record: Record, sort: str, wrong: bool, now: float, common: bool = False) -> float:
         """An attempt of a sort ended well, or not; how likely its server is bad, after it.
 
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -9,7 +9,7 @@
 from typing import Optional
 
 from forkweir.allowance import Account
-from forkweir.doubt import MOST_OUT, Doubts, Record
+from forkweir.doubt import Doubts, Record
 from forkweir.line import digest
 from forkweir.settings import Server, Settings
 from forkweir.speeds import Pace, Speeds
@@ -369,7 +369,7 @@
 
     def doubted(self, member: Member, sort: str, wrong: bool, trial: bool, now: float) -> float:
         """Note how an attempt went; how likely its server is bad. One that is is kept out, but for trials, where most are not."""
-        common = wrong and sum(m.present and m.record.bad for m in self.placed) > MOST_OUT * self.live
+        common = wrong and self.doubts.common(sort, sum(m.present and m.record.bad for m in self.placed) / max(1, self.live))
         bad = self.doubts.judge(member.record, sort, wrong, now, common)
         if common:
             for other in self.placed:
--- a/forkweir/gate.py
+++ b/forkweir/gate.py
@@ -97,7 +97,11 @@
         # trouble shows at many servers.
         if status == "failure" or note >= 2:
             part = 1.0 if status == "failure" or not aim else min(1.0, elapsed_ms / aim)
-            self.origin_slow += ORIGIN_STEP * (1.0 - bad) * (part - self.origin_slow)
+            # A failure tells of it as far as a miss was likely: a server that fails what it is asked fails hits as well, and held
+            # beside misses alone these pass for an origin in trouble (guards against half the fleet's errors that stop repeats
+            # and shut the gate while the other half has room). Harm: where nothing but errors comes, it takes some more of them.
+            likely = 1.0 if note >= 2 else max(missed, FEW_HITS - self.hits)
+            self.origin_slow += ORIGIN_STEP * (1.0 - bad) * likely * (part - self.origin_slow)
             # An origin that is down with empty caches before it gets no further while most keys are
             # misses (guards against a collapse that outlasts its cause).
             if self.origin_slow > ORIGIN_DOWN and self.hits < FEW_HITS:
--- a/tests/forkweir/test_doubt.py
+++ b/tests/forkweir/test_doubt.py
@@ -9,9 +9,11 @@
 
 from forkweir import Balancer, ClassSpec, Server, Settings
 from forkweir.doubt import (
+    COMMON,
     HIGH,
     LEAST_USUAL,
     LOW,
+    MOST_ALONE,
     MOST_OUT,
     MOST_USUAL,
     PRIOR_ODDS,
@@ -81,6 +83,13 @@
     assert alone.usual("known") < 0.1 < 0.5 < common.usual("known")
 
 
+def test_many_bad_servers_are_a_trouble_of_all_only_where_the_others_do_badly_too() -> None:
+    well, badly = seasoned(0.02), seasoned(COMMON + 0.1)
+    assert not well.common("known", MOST_OUT) and not badly.common("known", MOST_OUT)
+    assert not well.common("known", 0.5) and badly.common("known", 0.5)
+    assert well.common("known", MOST_ALONE + 0.01)
+
+
 def test_what_is_held_against_a_server_is_forgotten() -> None:
     doubts, record = seasoned(0.02), Record()
     for n in range(3):
@@ -148,3 +157,31 @@
     balancer, _ = play({f"s{n}" for n in range(60)}, 0.9, 20_000.0)
     assert sum(member.record.row > 0 for member in balancer.fleet.placed) <= MOST_OUT * 60
     assert balancer.fleet.doubts.usual("unknown") > 0.45
+
+
+def test_half_a_fleet_that_fails_neither_shuts_the_gate_nor_passes_for_an_origin_in_trouble() -> None:
+    """A node of 20 requests a second before 60 servers, of which 27 fail most of what they are asked, hit or miss."""
+    rng = random.Random(11)
+    balancer = Balancer(Settings(classes=(READ,)), 1)
+    balancer.on_list(0.0, "full", [Server(f"s{i}") for i in range(60)])
+    served = refused = 0
+    for n in range(500):
+        now = 1_000.0 + 50.0 * n
+        failing = n >= 200  # from 10 s on
+        actions = balancer.on_request(now, n, "read", f"k{rng.randrange(400)}", 2_500.0)
+        action, attempt = actions[0], 0
+        while action[0] == "attempt":
+            server = str(action[2])
+            bad = failing and int(server[1:]) < 27 and rng.random() < 0.8
+            note = 1 + (rng.random() < 0.3)
+            if not bad:
+                balancer.on_outcome(now, n, attempt, True, "success", server, 100.0 * note, note)
+                served += failing
+                break
+            action = balancer.on_outcome(now, n, attempt, False, "failure", server, 10.0)[0]
+            attempt += 1
+        else:
+            refused += failing
+    assert balancer.gate.part == 1.0
+    assert balancer.gate.origin_slow < 0.6
+    assert refused < 0.15 * served, (refused, served)
