A time-out with hardly any time tells nothing; repeats that tell no wait get their aim

Cause: Gate.judge counted a time-out whatever time its attempt had (shut, bad, hits, strain); and on_request took a repeat's difference to the class's deadline for time that had passed, where clients that hang up after 250 ms say the same each time.

Ruled out: servers, zones and nodes (the same part at each), the origin (writes 8%), the budget of fetches (never pressed).

Change: within half of the aim a time-out tells the gate nothing (LONG, which doubts had); forkweir/patience.py.

--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -19,6 +19,7 @@
 from forkweir.fetches import PASS, Fetches
 from forkweir.fleet import CALM, FAULTS_ROW, Fleet, Member
 from forkweir.gate import (
+    LONG,
     ORIGIN_DOWN,
     ORIGIN_SLOW,
     USUAL_BAD,
@@ -26,6 +27,7 @@
     Gate,
 )
 from forkweir.line import Line, position_of
+from forkweir.patience import Patience
 from forkweir.request import Request
 from forkweir.savings import ERRORS, REPEATS, Savings
 from forkweir.settings import (
@@ -47,7 +49,6 @@
 HEDGE_MOST = 0.7  # and not at all where that is later than this part
 HEDGE_LEARN = 0.02  # weight of one outcome in the judgement of how long that is
 TRIAL_PART = 0.35  # and what tries a server that was found to be bad after this part
-LONG = 0.5  # an attempt that had this part of the aim tells of its server
 HEDGE_STEP_MS = 5.0  # between two looks at which are
 COLD_LOOKS = 8  # servers beyond a range's neighbours that are asked for room where all are cold
 HEARD = frozenset({"success", "overloaded", "failure", "absent", "spoilt", "broken"})  # something came back
@@ -67,6 +68,7 @@
         "turn",
         "repeats",
         "errors",
+        "patience",
         "probes",
         "gate",
         "least_worth",
@@ -92,6 +94,7 @@
         self.turn = 0
         self.repeats = Savings(REPEATS)
         self.errors = Savings(ERRORS)
+        self.patience = Patience()
         self.probes = 0
         self.gate = Gate(settings, self.fleet)
         self.least_worth = min((spec.worth for spec in settings.classes if spec.worth > 0.0), default=1.0)
@@ -166,9 +169,8 @@
         spec = self.classes.get(class_name, self.fallback)
         position = self.random.random() if key is None else position_of(key)
         deadline = now + budget_ms
-        # A client that repeats has waited since its first try, and what is left of the class's
-        # deadline tells how long (guards against full servers working on what is late already).
-        waited = max(0.0, spec.deadline_ms - budget_ms) if repeated else 0.0
+        # A client that repeats has waited since its first try (guards against full servers working on what is late already).
+        waited = self.patience.waited(spec.name, budget_ms, repeated, spec.deadline_ms)
         aim_at = now - waited + spec.aim_ms + spec.aim_stretch * work_ms - 2.0 * self.settings.tick_ms
         worth = spec.worth if aim_at > now + HOPELESS * spec.aim_ms else spec.worth * spec.late_worth
         request = Request(request_id, spec, key, position, min(aim_at, deadline), deadline, work_ms, write)
--- a/forkweir/gate.py
+++ b/forkweir/gate.py
@@ -12,6 +12,7 @@
 ORIGIN_STEP = 0.1  # weight of one miss in the judgement of the origin
 ORIGIN_SLOW = 0.6  # misses that take this part of the aim on average: the origin is in trouble
 ORIGIN_DOWN = 0.8  # and this part: it serves hardly any miss in time
+LONG = 0.5  # an attempt that had this part of the aim tells of its server, by its time-out too
 SLOW_HIT = 0.5  # a hit that takes this part of the aim strains its server
 GATE_SHUT = 0.85  # each bad outcome multiplies the part of the keys that is let in
 GATE_OPEN = 0.015  # and each good one adds this,
@@ -52,6 +53,10 @@
         missed, bad: how likely the attempt was to miss, and its server to be bad, 0 to 1.
         """
         aim = request.spec.aim_ms if request is not None else 0.0
+        # Time that ran out before most answers come tells of nobody (guards against clients that repeat with little time left,
+        # whose time-outs pass for overload and get more refused, who repeat).
+        if status == "timed_out" and elapsed_ms < LONG * aim:
+            return
         work = request.work if request is not None else 0.0
         if status == "success":
             # While much goes wrong it opens by time and not by answers (guards against nodes with
