--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,65 @@
+"""What the nodes of a fleet send, by kind and for each request of a client: `python -m benchmarks.fleet [--seeds 1-3] [--jobs 8]`.
+
+Each trouble of testbed/fleets.py is played at 5, 20 and 40 nodes before 60 boxes, on the virtual clock, under the same load. A kind
+that grows with the number of nodes shows as a share that does.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+from concurrent.futures import ProcessPoolExecutor
+
+from testbed.fleets import ALL, BOXES, night
+from testbed.simulation import run
+from testbed.traffic import Traffic, counted
+
+SIZES = (5, 20, 40)
+
+
+def play(job: tuple[str, int, int]) -> tuple[Traffic, float, int]:
+    """One night: the sums, the part of the requests that was served in time, and broken rules."""
+    name, nodes, seed = job
+    result = run(seed, night(name, seed, nodes), keep=True)
+    figures = result.figures
+    return counted(result.lines), figures.in_time / max(1, figures.asked), len(result.failures)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-3", metavar="A-B", help="both included")
+    parser.add_argument("--jobs", type=int, default=8)
+    args = parser.parse_args()
+    first, last = (int(n) for n in args.seeds.split("-"))
+    jobs = [(name, nodes, seed) for name in ALL for nodes in SIZES for seed in range(first, last + 1)]
+    with ProcessPoolExecutor(args.jobs) as pool:
+        done = dict(zip(jobs, pool.map(play, jobs), strict=True))
+    print(
+        "| trouble | nodes | in time | handshakes | dials lost | second requests and repeats | refused | failed | idle at most | list calls"
+        " | in 1 s |"
+    )
+    print("|---|---|---|---|---|---|---|---|---|---|---|")
+    broken = 0
+    for name in ALL:
+        for nodes in SIZES:
+            nights = [done[name, nodes, seed] for seed in range(first, last + 1)]
+            broken += sum(failures for _, _, failures in nights)
+            all_ = [traffic for traffic, _, _ in nights]
+            in_time = statistics.mean(part for _, part, _ in nights)
+            kinds = (
+                statistics.mean(t.share(count) for t, count in zip(all_, counts, strict=True))
+                for counts in (
+                    [t.handshakes for t in all_], [t.lost_dials for t in all_], [t.again for t in all_],
+                    [t.refused for t in all_], [t.failed for t in all_],
+                )
+            )  # fmt: skip
+            shares = " | ".join(f"{kind:.3f}" for kind in kinds)
+            idle = max(t.idle_most for t in all_)
+            lists, at_once = max(t.lists for t in all_), max(t.lists_most for t in all_)
+            print(f"| {name} | {nodes} | {in_time:.3f} | {shares} | {idle} | {lists} | {at_once} |")
+    print(f"\n{len(jobs)} nights before {BOXES} boxes, seeds {first} to {last}; rules broken: {broken}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
