One reading of seed ranges, one way to ask in a test, and state that nothing reads is gone

Read again as a whole. Gate.settings was dead since zones moved out; two defaults had no caller; benchmarks.fleet read A-B anew, with a traceback for bad input (testbed.explore.seeds_of now, which sim explore calls too), and zipped counts it can name; the test of half a fleet repeated the loop of play; the overbooked night was played twice in one file.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -10,11 +10,16 @@
 import statistics
 from concurrent.futures import ProcessPoolExecutor
 
+from testbed.explore import seeds_of
 from testbed.fleets import ALL, BOXES, night
 from testbed.simulation import run
 from testbed.traffic import Traffic, counted
 
 SIZES = (5, 20, 40)
+KINDS = {
+    "handshakes": "handshakes", "lost_dials": "dials lost", "again": "second requests and repeats", "refused": "refused",
+    "failed": "failed",
+}  # fmt: skip
 
 
 def play(job: tuple[str, int, int]) -> tuple[Traffic, float, int]:
@@ -30,34 +35,26 @@
     parser.add_argument("--seeds", default="1-3", metavar="A-B", help="both included")
     parser.add_argument("--jobs", type=int, default=8)
     args = parser.parse_args()
-    first, last = (int(n) for n in args.seeds.split("-"))
-    jobs = [(name, nodes, seed) for name in ALL for nodes in SIZES for seed in range(first, last + 1)]
+    seeds = seeds_of(args.seeds)
+    if not seeds or args.jobs < 1:
+        parser.error("--seeds wants A-B with A no greater than B, and --jobs at least 1")
+    jobs = [(name, nodes, seed) for name in ALL for nodes in SIZES for seed in seeds]
     with ProcessPoolExecutor(args.jobs) as pool:
         done = dict(zip(jobs, pool.map(play, jobs), strict=True))
-    print(
-        "| trouble | nodes | in time | handshakes | dials lost | second requests and repeats | refused | failed | idle at most | list calls"
-        " | in 1 s |"
-    )
+    print(f"| trouble | nodes | in time | {' | '.join(KINDS.values())} | idle at most | list calls | in 1 s |")
     print("|---|---|---|---|---|---|---|---|---|---|---|")
     broken = 0
     for name in ALL:
         for nodes in SIZES:
-            nights = [done[name, nodes, seed] for seed in range(first, last + 1)]
+            nights = [done[name, nodes, seed] for seed in seeds]
             broken += sum(failures for _, _, failures in nights)
             all_ = [traffic for traffic, _, _ in nights]
             in_time = statistics.mean(part for _, part, _ in nights)
-            kinds = (
-                statistics.mean(t.share(count) for t, count in zip(all_, counts, strict=True))
-                for counts in (
-                    [t.handshakes for t in all_], [t.lost_dials for t in all_], [t.again for t in all_],
-                    [t.refused for t in all_], [t.failed for t in all_],
-                )
-            )  # fmt: skip
-            shares = " | ".join(f"{kind:.3f}" for kind in kinds)
+            shares = " | ".join(f"{statistics.mean(t.share(getattr(t, kind)) for t in all_):.3f}" for kind in KINDS)
             idle = max(t.idle_most for t in all_)
             lists, at_once = max(t.lists for t in all_), max(t.lists_most for t in all_)
             print(f"| {name} | {nodes} | {in_time:.3f} | {shares} | {idle} | {lists} | {at_once} |")
-    print(f"\n{len(jobs)} nights before {BOXES} boxes, seeds {first} to {last}; rules broken: {broken}")
+    print(f"\n{len(jobs)} nights before {BOXES} boxes, seeds {seeds[0]} to {seeds[-1]}; rules broken: {broken}")
     return 1 if broken else 0
 
 
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -96,7 +96,7 @@
         self.errors = Savings(ERRORS)
         self.patience = Patience()
         self.probes = 0
-        self.gate = Gate(settings, self.fleet)
+        self.gate = Gate(self.fleet)
         self.least_worth = min((spec.worth for spec in settings.classes if spec.worth > 0.0), default=1.0)
         self.costs = Costs()
         worths = [spec.worth for spec in settings.classes]
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -114,7 +114,7 @@
         "doubts",
     )
 
-    def __init__(self, settings: Settings, seed: int = 0) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.doubts = Doubts(seed)
         self.members: dict[str, Member] = {}
--- a/forkweir/gate.py
+++ b/forkweir/gate.py
@@ -7,7 +7,6 @@
 
 from forkweir.fleet import STRAIN_MS, Fleet, Member
 from forkweir.request import Request
-from forkweir.settings import Settings
 
 ORIGIN_STEP = 0.1  # weight of one miss in the judgement of the origin
 ORIGIN_SLOW = 0.6  # misses that take this part of the aim on average: the origin is in trouble
@@ -31,10 +30,9 @@
 class Gate:
     """Judges outcomes: how much goes wrong lately, by whose fault, and so what part of the keys is let in."""
 
-    __slots__ = ("settings", "fleet", "part", "shut_ms", "good_ms", "origin_slow", "bad", "slow", "hits")
+    __slots__ = ("fleet", "part", "shut_ms", "good_ms", "origin_slow", "bad", "slow", "hits")
 
-    def __init__(self, settings: Settings, fleet: Fleet) -> None:
-        self.settings = settings
+    def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.part = 1.0  # of the keys, let in
         self.shut_ms = 0.0
@@ -46,7 +44,7 @@
 
     def judge(
         self, member: Member, status: str, note: int, elapsed_ms: float, request: Optional[Request], now: float, missed: float,
-        bad: float = 0.0,
+        bad: float,
     ) -> None:  # fmt: skip
         """Tell a slow server from a slow origin by hits and misses.
 
--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import re
 import sys
 import time
 from pathlib import Path
@@ -112,12 +111,11 @@
 
 
 def _explore(args: argparse.Namespace) -> int:
-    from testbed.explore import command_of, explore
+    from testbed.explore import command_of, explore, seeds_of
 
-    match = re.fullmatch(r"(\d+)-(\d+)", args.seeds)
-    if not match or int(match[1]) > int(match[2]) or args.jobs < 1:
+    seeds = seeds_of(args.seeds)
+    if not seeds or args.jobs < 1:
         raise _Unusable("--seeds wants A-B with A no greater than B, and --jobs at least 1")
-    seeds = range(int(match[1]), int(match[2]) + 1)
     began = last = time.monotonic()
     failed = asked = 0
     virtual = 0.0
--- a/testbed/explore.py
+++ b/testbed/explore.py
@@ -42,6 +42,12 @@
     )
 
 
+def seeds_of(text: str) -> range:
+    """The seeds that A-B names, both included; none where it is not of that form."""
+    match = re.fullmatch(r"(\d+)-(\d+)", text)
+    return range(int(match[1]), int(match[2]) + 1) if match else range(0)
+
+
 def explore(seeds: Iterable[int], jobs: int, defect: str = "") -> Iterator[Summary]:
     """Play seeds on several processes; the summaries come in the seeds' order."""
     if jobs <= 1:
--- a/testbed/fleets.py
+++ b/testbed/fleets.py
@@ -8,9 +8,10 @@
 import random
 from collections.abc import Callable
 
-from testbed.script import Fault, Script, World
+from testbed.script import Fault, Kind, Script, World
 
 NODES, BOXES = 40, 60
+BAD: tuple[tuple[Kind, float], ...] = (("box_slow", 8.0), ("box_errors", 60.0))
 Maker = Callable[[random.Random, int, int], list[Fault]]
 
 
@@ -28,23 +29,23 @@
     """Discovery answers late, sends what can't be read or breaks off in the middle of a line, and refuses; boxes go on being replaced."""
     faults = [Fault(at_ms=800.0, kind="discovery_late", for_ms=900.0), Fault(at_ms=2_900.0, kind="discovery_down", for_ms=1_200.0)]
     faults += [Fault(at_ms=1_200.0 + 250.0 * n, kind="discovery_wrong", value=float(n)) for n in range(8)]
-    return faults + _replaced(rng, boxes // 10, boxes, 3_000.0)
+    return faults + _replaced(rng, boxes // 10, boxes)
 
 
-def _replaced(rng: random.Random, many: int, boxes: int, within_ms: float) -> list[Fault]:
+def _replaced(rng: random.Random, many: int, boxes: int) -> list[Fault]:
     return [
-        Fault(at_ms=900.0 + rng.uniform(0.0, within_ms), kind="box_rename", target=n, for_ms=150.0)
+        Fault(at_ms=900.0 + rng.uniform(0.0, 3_000.0), kind="box_rename", target=n, for_ms=150.0)
         for n in rng.sample(range(boxes), many)
     ]
 
 
 def _join(rng: random.Random, nodes: int, boxes: int) -> list[Fault]:
     """Six in ten boxes are replaced under new ids, and one in five of the new ones is slow or fails what it is asked."""
-    faults = _replaced(rng, boxes * 6 // 10, boxes, 3_000.0)
+    faults = _replaced(rng, boxes * 6 // 10, boxes)
     for fault in list(faults):
         if rng.random() < 0.2:
-            kind, value = rng.choice((("box_slow", 8.0), ("box_errors", 60.0)))
-            faults.append(Fault(at_ms=fault.at_ms + 500.0, kind=kind, target=fault.target, for_ms=2_500.0, value=value))  # type: ignore[arg-type]
+            kind, value = rng.choice(BAD)
+            faults.append(Fault(at_ms=fault.at_ms + 500.0, kind=kind, target=fault.target, for_ms=2_500.0, value=value))
     return faults
 
 
--- a/testbed/traffic.py
+++ b/testbed/traffic.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-BOXES, DISCOVERY = "127.2.", "127.4."
+BOX_HOSTS, DISCOVERY_HOSTS = "127.2.", "127.4."
 
 
 @dataclass(slots=True)
@@ -40,7 +40,7 @@
     out: Counter[str] = Counter()  # attempts that boxes have not answered yet, by request
     sent: set[str] = set()
     carrying = 0
-    calls: list[int] = []
+    calls: deque[int] = deque()
     for line in lines:
         words = line.split()
         if len(words) < 3:
@@ -66,7 +66,7 @@
             if out[request] > 0:
                 out[request] -= 1
                 carrying -= 1
-        elif who[0] == "n" and len(words) == 5 and words[4].startswith(BOXES):
+        elif who[0] == "n" and len(words) == 5 and words[4].startswith(BOX_HOSTS):
             end = words[3], words[4]
             if what == "dial":
                 t.lost_dials += 1
@@ -77,10 +77,10 @@
             elif what in ("close", "abort", "reset"):
                 open_at.discard(end)
             t.idle_most = max(t.idle_most, len(open_at) - max(0, carrying))
-        elif who[0] == "n" and what == "dial" and len(words) == 5 and words[4].startswith(DISCOVERY):
+        elif who[0] == "n" and what == "dial" and len(words) == 5 and words[4].startswith(DISCOVERY_HOSTS):
             t.lists += 1
             calls.append(at_us)
             while calls[0] < at_us - 1_000_000:
-                calls.pop(0)
+                calls.popleft()
             t.lists_most = max(t.lists_most, len(calls))
     return t
--- a/tests/forkweir/test_doubt.py
+++ b/tests/forkweir/test_doubt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -121,27 +122,38 @@
             assert record.odds >= before
 
 
+def asked(balancer: Balancer, now: float, n: int, key: str, after_ms: float, answer: Callable[[str], tuple[str, int, float]]) -> bool:
+    """One request with all its attempts, each over `after_ms` later with the status, note and time that its server gives.
+
+    Whether it was served.
+    """
+    action, attempt = balancer.on_request(now, n, "read", key, 2_500.0)[0], 0
+    while action[0] == "attempt":
+        status, note, elapsed_ms = answer(str(action[2]))
+        served = status == "success"
+        after = balancer.on_outcome(now + after_ms, n, attempt, served, status, str(action[2]), elapsed_ms, note)
+        if served:
+            return True
+        action, attempt = after[0], attempt + 1
+    return False
+
+
 def play(failing: set[str], part: float, until_ms: float) -> tuple[Balancer, dict[str, int]]:
     """One node that gets 20 requests a second for 60 servers, some of which fail; how many of each went out in the last half."""
     balancer, rng = Balancer(Settings(classes=(READ,), may_cancel=True), 5), random.Random(5)
     balancer.on_list(0.0, "full", [Server(f"s{n}") for n in range(60)])
     sent = dict.fromkeys((f"s{n}" for n in range(60)), 0)
     now, n = 1_000.0, 0
+
+    def answer(server: str) -> tuple[str, int, float]:
+        sent[server] += now > until_ms / 2.0
+        wrong = server in failing and rng.random() < part
+        return ("failure", 0, 60.0) if wrong else ("success", 1, 60.0)
+
     while now < until_ms:
         n += 1
         now += rng.expovariate(1 / 50.0)
-        for action in balancer.on_request(now, n, "read", f"k{rng.randrange(4_000)}", 2_500.0):
-            attempt = 0
-            while action[0] == "attempt":
-                server = str(action[2])
-                sent[server] += now > until_ms / 2.0
-                wrong = server in failing and rng.random() < part
-                status, note = ("failure", 0) if wrong else ("success", 1)
-                answer = balancer.on_outcome(now + 60.0, n, attempt, not wrong, status, server, 60.0, note)
-                attempt += 1
-                if not answer:
-                    break
-                action = answer[0]
+        asked(balancer, now, n, f"k{rng.randrange(4_000)}", 60.0, answer)
     return balancer, sent
 
 
@@ -165,23 +177,18 @@
     balancer = Balancer(Settings(classes=(READ,)), 1)
     balancer.on_list(0.0, "full", [Server(f"s{i}") for i in range(60)])
     served = refused = 0
+    failing = False
+
+    def answer(server: str) -> tuple[str, int, float]:
+        bad = failing and int(server[1:]) < 27 and rng.random() < 0.8
+        note = 1 + (rng.random() < 0.3)
+        return ("failure", 0, 10.0) if bad else ("success", note, 100.0 * note)
+
     for n in range(500):
-        now = 1_000.0 + 50.0 * n
         failing = n >= 200  # from 10 s on
-        actions = balancer.on_request(now, n, "read", f"k{rng.randrange(400)}", 2_500.0)
-        action, attempt = actions[0], 0
-        while action[0] == "attempt":
-            server = str(action[2])
-            bad = failing and int(server[1:]) < 27 and rng.random() < 0.8
-            note = 1 + (rng.random() < 0.3)
-            if not bad:
-                balancer.on_outcome(now, n, attempt, True, "success", server, 100.0 * note, note)
-                served += failing
-                break
-            action = balancer.on_outcome(now, n, attempt, False, "failure", server, 10.0)[0]
-            attempt += 1
-        else:
-            refused += failing
+        good = asked(balancer, 1_000.0 + 50.0 * n, n, f"k{rng.randrange(400)}", 0.0, answer)
+        served += failing and good
+        refused += failing and not good
     assert balancer.gate.part == 1.0
     assert balancer.gate.origin_slow < 0.6
     assert refused < 0.15 * served, (refused, served)
--- a/tests/testbed/test_fleet.py
+++ b/tests/testbed/test_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import cache
+
 import pytest
 
 from forkweir.savings import BANK, ERRORS, REPEATS
@@ -13,8 +15,9 @@
 IN_TIME = {"calm": 0.97, "herd": 0.95, "overbooked": 0.96, "join": 0.95, "zone": 0.94, "half": 0.70, "together": 0.90}
 
 
-def play(name: str, nodes: int = NODES) -> tuple[Result, Traffic]:
-    result = run(SEED, night(name, SEED, nodes, requests_per_s=240.0, seconds=4.5), keep=True)
+@cache
+def play(name: str) -> tuple[Result, Traffic]:
+    result = run(SEED, night(name, SEED, requests_per_s=240.0, seconds=4.5), keep=True)
     return result, counted(result.lines)
 
 
