--- a/testbed/clients.py
+++ b/testbed/clients.py
@@ -49,7 +49,7 @@
 SITE_CLASSES = tuple(replace(kind, worth=SITE_WORTHS[kind.name]) for kind in CLASSES)  # with what the brief's table says they are worth
 
 
-def settings(classes: tuple[Class, ...] = CLASSES) -> dict[str, object]:
+def settings(classes: tuple[Class, ...] = CLASSES, ask_within_ms: float = 2_000.0) -> dict[str, object]:
     """The settings object that a node gets for these classes."""
     return {
         "services": [
@@ -67,7 +67,7 @@
         "discovery": "subscribe",
         "granularityMs": 1.0,
         "weights": "rough",
-        "contract": {"mustAskInMs": 2_000.0, "stopSendingWithinMs": 250.0, "coldFrom": 0.12, "coldMs": 24_000.0},
+        "contract": {"mustAskInMs": ask_within_ms, "stopSendingWithinMs": 250.0, "coldFrom": 0.12, "coldMs": 24_000.0},
         "allowed": {
             "mostTries": 3,
             "retryAfter": True,
--- a/testbed/rules.py
+++ b/testbed/rules.py
@@ -3,7 +3,8 @@
 1. Each request that a running node has taken gets exactly one final answer, made for it, before its time is up.
 2. Unsafe work that may have run is not repeated and not refused; a keyed one is repeated only within its window.
 3. Nothing goes out for a request after its final answer, or after its client has left.
-4. Nothing goes to a server later than the drain grace after the node was told that it drains or is gone.
+4. Nothing goes to a server later than the drain grace after the node was told that it drains or is gone. An entry is told when it
+   was written whole, from brace to brace, also in a line that is cut or spoilt elsewhere; but such a line takes nobody's last server.
 5. No cold server is pushed over: the work sent to it stays within the budget of its present capacity.
 6. The node's own books agree with its sockets after every step, and all are empty at the end.
 
@@ -86,6 +87,7 @@
         self._note = note
         self._later = later  # calls back after so many us
         self._left_out: dict[tuple[Process, str], int] = {}  # (node, address): since when it may get nothing new
+        self._listed: dict[Process, set[str]] = {}  # of a node: the addresses that it was told are in service
         self._started: set[tuple[Process, str]] = set()  # (node, host of a server): the node was told that it started lately
         self._heads: dict[VirtualSocket, bytearray] = {}
         self._work: dict[str, deque[tuple[int, float, bool]]] = {}
@@ -221,17 +223,26 @@
 
     # -- discovery -----------------------------------------------------------------------
 
-    def told(self, node: str, entries: list[dict[str, object]], full: bool) -> None:
+    def starts(self, process: Process, known: list[dict[str, object]]) -> None:
+        """A node starts with the list as it last was."""
+        self.nodes[process.host] = process
+        self._listed[process] = {str(entry["hostPort"]) for entry in known if entry["lifecycle"] == "in_service"}
+
+    def told(self, node: str, entries: list[dict[str, object]], full: bool, sound: bool = True) -> None:
         now = self._now()
         process = self.nodes.get(node)
         if process is None or not process.alive:
             return
         there = set()
+        listed = self._listed[process]
+        if full:
+            listed.clear()
         for entry in entries:
             address = str(entry["hostPort"])
             if entry["lifecycle"] == "in_service":
                 self._left_out.pop((process, address), None)
                 there.add(address)
+                listed.add(address)
                 known = process, address.partition(":")[0]
                 if entry.get("startedAtMs"):
                     self._started.add(known)
@@ -240,6 +251,9 @@
         for entry in entries:
             address = str(entry["hostPort"])
             if entry["lifecycle"] != "in_service" and address not in there:
+                if not sound and listed <= {address}:
+                    continue  # a line that can't be read may not take the last server
+                listed.discard(address)
                 self._left_out.setdefault((process, address), now)
                 self._note(f"{process.name} is told that {entry['instanceId']} is {entry['lifecycle']}")
 
--- a/testbed/script.py
+++ b/testbed/script.py
@@ -22,9 +22,12 @@
     "link_cut", "link_slow", "reset", "trip_request", "trip_answer", "trip_client", "discovery_silent", "discovery_late",
     "discovery_wrong", "discovery_down", "book_slow", "book_down", "clock_jump", "rude",
     "box_lie", "flush", "load_step",
+    "discovery_spoil", "discovery_refuse", "discovery_mute", "discovery_drop",
 ]  # fmt: skip
 DRAWN: tuple[Kind, ...] = Kind.__args__[:30]  # type: ignore[attr-defined]  # of every night; the others come with hard nights alone
-HARD_FROM = 20_001  # nights drawn from this seed on are hard ones
+MISSED: tuple[Kind, ...] = ("discovery_refuse", "discovery_mute", "discovery_down", "discovery_drop", "discovery_silent")
+HARD_FROM = 20_001  # nights drawn from this seed on are hard ones,
+TOLD_FROM = 10_000_001  # and from this one on nights on which discovery spoils what it tells
 TARGETS: dict[str, str] = {
     kind: "node" if kind.startswith(("node", "clock", "rude", "trip_client")) else "box" if kind.startswith(("box", "trip")) else "any"
     for kind in Kind.__args__  # type: ignore[attr-defined]
@@ -53,6 +56,7 @@
     bandwidth: Annotated[int, msgspec.Meta(ge=0)] = 0
     descriptors: Annotated[int, msgspec.Meta(ge=32, le=65_536)] = 256
     worths: Literal["equal", "site"] = "equal"  # of the classes: all the same, or as the brief has them
+    ask_within_ms: Annotated[float, msgspec.Meta(gt=0.0, le=60_000.0)] = 2_000.0  # how long a node may go without discovery
 
 
 class Fault(Table, frozen=True, kw_only=True):
@@ -110,8 +114,42 @@
 
 
 def draw(seed: int) -> Script:
-    """The script of a seed: a small world with up to seven faults that overlap; a hard night from HARD_FROM on."""
-    return _draw_night(seed) if seed < HARD_FROM else _draw_hard(seed)
+    """The script of a seed: a small world with up to seven faults that overlap; others from HARD_FROM and TOLD_FROM on."""
+    return _draw_night(seed) if seed < HARD_FROM else _draw_hard(seed) if seed < TOLD_FROM else _draw_told(seed)
+
+
+def _draw_told(seed: int) -> Script:
+    """A night on which discovery spoils or loses what it tells, while servers drain, go and come back."""
+    rng = random.Random(f"told/{seed}")
+    world = World(
+        seconds=rng.choice((2.0, 3.0)),
+        nodes=rng.choice((1, 1, 2, 3)),
+        boxes=rng.randint(2, 6),
+        requests_per_s=float(rng.choice((60, 100, 150))),
+        keys=rng.choice((20, 120)),
+        latency_us=rng.choice((50, 250, 2_000)),
+        jitter_us=rng.choice((0, 100)),
+        ask_within_ms=rng.choice((2_000.0, 10_000.0)),
+    )
+    at = rng.uniform(550.0, 1_200.0)  # by then every watch is up where nodes ask within 2 s
+    faults = []
+    for box in rng.sample(range(world.boxes), rng.randint(1, max(1, world.boxes - 1))):
+        kind: Kind = rng.choice(("box_drain", "box_drain", "box_drain", "box_rename", "box_quick_restart", "box_kill"))
+        after = rng.choice((0.0, 0.0, rng.uniform(0.0, 3.0), rng.uniform(0.0, 400.0)))
+        faults.append(Fault(at_ms=round(at + after, 3), kind=kind, target=box, for_ms=float(rng.choice((1, 200, 600)))))
+    for _ in range(rng.choice((1, 1, 2, 3))):
+        early = rng.choice((1.0, 1.0, rng.uniform(0.0, 50.0)))
+        how, byte = rng.randrange(64), float(rng.randrange(1, 500))
+        faults.append(Fault(at_ms=round(at - early, 3), kind="discovery_spoil", target=how, value=byte))
+    if rng.random() < 0.3:
+        faults.append(Fault(at_ms=round(at - 0.5, 3), kind="discovery_wrong", value=float(rng.randrange(8))))
+    for kind in rng.sample(MISSED, rng.choice((0, 1, 1, 2))):
+        after = rng.choice((-0.2, 0.2, rng.uniform(0.0, 10.0), rng.uniform(0.0, 300.0)))
+        faults.append(Fault(at_ms=round(at + after, 3), kind=kind, for_ms=float(rng.choice((40, 200, 375, 1_500)))))
+    if rng.random() < 0.15:
+        faults.append(Fault(at_ms=round(at + rng.uniform(-100.0, 100.0), 3), kind="node_hup", target=rng.randrange(world.nodes)))
+    faults += [_draw_fault(rng, world) for _ in range(rng.choice((0, 0, 0, 1, 2)))]
+    return Script(world=world, fault=sorted(faults, key=lambda fault: fault.at_ms))
 
 
 def _draw_hard(seed: int) -> Script:
--- a/testbed/simulation.py
+++ b/testbed/simulation.py
@@ -24,7 +24,7 @@
 from testbed.rules import Failure, Rules
 from testbed.script import Fault, Script, draw
 from testbed.serving import Connection, Server
-from testbed.standins import SPOILS, BoxSpec, CacheBox, OrderBook, Registry, work_of
+from testbed.standins import SPOIL_HOWS, SPOILS, SPOILT_BY, BoxSpec, CacheBox, OrderBook, Registry, Spoil, work_of
 
 SOON_S = 0.3  # after the last answer, before timers are counted (those of deadlines have not come due by then),
 QUIET_S = 2.7  # and before all books are read
@@ -203,7 +203,7 @@
             "seed": f"{self.rng.getrandbits(48):x}",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": w.descriptors - 16},
             "known": known,
-            "settings": settings(self.classes),
+            "settings": settings(self.classes, w.ask_within_ms),
         }
         process.files["config.json"] = json.dumps(config).encode()
         process.variables["PROXY_CONFIG"] = "config.json"
@@ -214,7 +214,7 @@
             await service.run()
 
         self.nodes[name] = process
-        self.rules.nodes[process.host] = process
+        self.rules.starts(process, list(self.entries.values()))
         process.on_end = lambda: self._node_ended(process)
         process.start(program)
         self.trace.note(f"{name} starts")
@@ -577,6 +577,26 @@
         for registry in self.registries:
             registry.tell_raw(bad[int(fault.value) % len(bad)])
 
+    def _do_discovery_spoil(self, fault: Fault) -> None:
+        """The next line that each place tells is spoilt: how, by what noise, and at which byte."""
+        how, noise = SPOIL_HOWS[fault.target % len(SPOIL_HOWS)], SPOILT_BY[fault.target // len(SPOIL_HOWS) % len(SPOILT_BY)]
+        for registry in self.registries:
+            registry.spoils.append(Spoil(how, int(fault.value), noise))
+
+    def _do_discovery_refuse(self, fault: Fault) -> None:
+        for registry in self.registries:
+            registry.refusing = True
+            self._later(fault, setattr, registry, "refusing", False)
+
+    def _do_discovery_mute(self, fault: Fault) -> None:
+        for registry in self.registries:
+            registry.mute = True
+            self._later(fault, setattr, registry, "mute", False)
+
+    def _do_discovery_drop(self, fault: Fault) -> None:
+        for registry in self.registries:
+            registry.drop()
+
     def _do_discovery_down(self, fault: Fault) -> None:
         for registry in self.registries:
             registry.down = True
--- a/testbed/standins.py
+++ b/testbed/standins.py
@@ -37,8 +37,8 @@
     def fetched(self, box: str, key: str) -> None:
         """The order book was asked for a key."""
 
-    def told(self, node: str, entries: list[dict[str, object]], full: bool) -> None:
-        """Discovery has written entries to a node."""
+    def told(self, node: str, entries: list[dict[str, object]], full: bool, sound: bool = True) -> None:
+        """Discovery has written entries to a node; sound: in a line that can be read, on a watch of which all could be."""
 
 
 @dataclass(slots=True)
@@ -272,6 +272,24 @@
         await connection.answer(200, b"v%d %s" % (self.writes, key.encode()))
 
 
+SPOILT_BY = (b"\x00\xff noise", b"{", b'"}]}{', b'{"generation":9,"instances":[', b"\xe2\x28" * 40)
+SPOIL_HOWS = ("cut", "stop", "before", "inside", "after", "framing")
+HISTORY = 64  # changes that a watch is told of in place of the whole list
+
+
+@dataclass(frozen=True, slots=True)
+class Spoil:
+    """How the next line of a watch is spoilt.
+
+    cut: its connection breaks after `at` bytes of it. stop: nothing comes after so many, for good. before, inside, after: noise
+    in front of it, after `at` bytes, or before its end. framing: it comes as it is, in no chunk.
+    """
+
+    how: str
+    at: int
+    noise: bytes = SPOILT_BY[0]
+
+
 class Registry(Server):
     """Discovery: the whole list, and watches on it."""
 
@@ -281,12 +299,32 @@
         super().__init__(address)
         self.entries = entries if entries is not None else {}  # by instanceId; may be shared by two places
         self.generation = 1
-        self.silent = False  # writes nothing
+        self._speaks = asyncio.Event()
+        self._speaks.set()
         self.late_s = 0.0
         self.down = False
+        self.refusing = False  # calls are answered 503, and watches go on
+        self.mute = False  # calls are taken and not answered
+        self.spoils: list[Spoil] = []  # of the next lines, each at every watch that it is written to
         self.watches: dict[Connection, str] = {}
+        self._unsound: set[Connection] = set()  # a line of theirs could not be read: nothing more can be built on them
+        self._begun: dict[Connection, None] = {}  # have had their first line
+        self._mute: set[Connection] = set()  # nothing more is written
+        self._history: OrderedDict[int, list[dict[str, object]]] = OrderedDict()  # by generation, oldest first
         self._witness = witness
 
+    @property
+    def silent(self) -> bool:
+        """Whether it writes nothing; what it has to say meanwhile comes after, in its order."""
+        return not self._speaks.is_set()
+
+    @silent.setter
+    def silent(self, silent: bool) -> None:
+        if silent:
+            self._speaks.clear()
+        else:
+            self._speaks.set()
+
     @staticmethod
     def entry(name: str, address: Address, started_ms: float = 0.0, zone: str = "a") -> dict[str, object]:
         """One server as discovery lists it."""
@@ -306,45 +344,77 @@
     def tell(self, entries: list[dict[str, object]]) -> None:
         """Write changes to every watch."""
         self.generation += 1
-        line = self._line(entries, False)
-        for connection, node in list(self.watches.items()):
-            asyncio.get_running_loop().create_task(self._write(connection, line, node, entries, False))
+        self._history[self.generation] = entries
+        if len(self._history) > HISTORY:
+            self._history.popitem(last=False)
+        spoil = self.spoils.pop(0) if self.spoils else None
+        for connection in list(self.watches):
+            asyncio.get_running_loop().create_task(self._write(connection, entries, False, spoil))
 
     def tell_raw(self, data: bytes) -> None:
-        """Write bytes that need not be a list to every watch."""
-        for connection in list(self.watches):
-            if not data.endswith(b"\n"):
-                self.watches[connection] = ""  # what comes next belongs to this line, and tells nothing
-            asyncio.get_running_loop().create_task(
-                self._write(connection, b"%x\r\n%s\r\n" % (len(data), data), "", [], False)
-            )
+        """Write bytes that need not be a list to every watch that has had its first line."""
+        for connection in list(self._begun):
+            self._unsound.add(connection)
+            asyncio.get_running_loop().create_task(self._send(connection, _chunk(data)))
 
     def drop(self) -> None:
-        """End every watch."""
-        for connection in list(self.watches):
+        """End every watch that has had its first line."""
+        for connection in list(self._begun):
             connection.stream.abort()
 
-    def _line(self, entries: list[dict[str, object]], full: bool) -> bytes:
-        data = {"generation": self.generation, "reset": full, "instances": entries}
-        text = json.dumps(data).encode() + b"\n"
-        return b"%x\r\n%s\r\n" % (len(text), text)
-
-    async def _write(
-        self, connection: Connection, data: bytes, node: str, entries: list[dict[str, object]], full: bool
-    ) -> None:
+    async def _send(self, connection: Connection, data: bytes) -> bool:
         if self.late_s:
             await asyncio.sleep(self.late_s)
-        if self.silent or connection.stream.closed:
-            return
+        await self._speaks.wait()
+        if connection in self._mute or connection.stream.closed or connection.stream.ended:
+            return False
         try:
             await connection.stream.write(data)
         except OSError:
+            return False
+        return True
+
+    async def _write(
+        self, connection: Connection, entries: list[dict[str, object]], full: bool, spoil: Optional[Spoil] = None
+    ) -> None:
+        """Write a line, and tell the witness of what came whole with it."""
+        node = self.watches.get(connection, "")
+        text, spans = _line(self.generation, entries, full)
+        sound = connection not in self._unsound
+        whole = entries
+        data = _chunk(text)
+        if spoil is not None:
+            sound = False
+            at = min(spoil.at, len(text) - 2)  # the line's end is never among what is written
+            if spoil.how in ("cut", "stop"):
+                data = _chunk(text[:at]) if at else b""
+                whole = [entry for entry, (_, end) in zip(entries, spans, strict=True) if end <= at]
+            elif spoil.how == "framing":
+                data = text
+            else:
+                at = {"before": 0, "inside": at, "after": len(text) - 1}[spoil.how]
+                data = _chunk(text[:at] + spoil.noise + text[at:])
+                whole = [entry for entry, (begin, end) in zip(entries, spans, strict=True) if not begin < at < end]
+        if not await self._send(connection, data):
             return
+        if spoil is not None and spoil.how == "stop":
+            self._mute.add(connection)
+        elif spoil is not None and spoil.how == "cut":
+            connection.stream.abort()
+        if spoil is not None:
+            self._unsound.add(connection)
         if node:
-            self._witness.told(node, entries, full)
+            # Of a line that can't be read, and of what follows it, only what takes away has been told: whoever reads it must not
+            # build on the rest.
+            told = whole if sound else [entry for entry in whole if entry["lifecycle"] != "in_service"]
+            self._witness.told(node, told, full and sound, sound)
 
     async def serve(self, connection: Connection, request: Message) -> None:
-        if self.down:
+        if self.mute:
+            while await connection.stream.read():
+                pass
+            raise Ended("nobody answers")
+        if self.down or self.refusing:
             await connection.answer(503)
             return
         if "watch=1" not in request.target:
@@ -352,20 +422,34 @@
             await connection.answer(200, json.dumps(everything).encode())
             return
         stream = connection.stream
-        node = self.node_of(connection)
         await stream.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        entries = list(self.entries.values())
-        await self._write(connection, self._line(entries, True), node, entries, True)
-        self.watches[connection] = node
+        self.watches[connection] = self.node_of(connection)
         beat = asyncio.get_running_loop().create_task(self._beat(connection))
+        first = asyncio.get_running_loop().create_task(self._begin(connection, *self._since(request.target)))
         try:
             while await stream.read():
                 pass
         finally:
+            first.cancel()
             beat.cancel()
             del self.watches[connection]
+            self._begun.pop(connection, None)
+            self._unsound.discard(connection)
+            self._mute.discard(connection)
         raise Ended("the watch")
 
+    async def _begin(self, connection: Connection, entries: list[dict[str, object]], full: bool) -> None:
+        await self._write(connection, entries, full)
+        self._begun[connection] = None
+
+    def _since(self, target: str) -> tuple[list[dict[str, object]], bool]:
+        """What a watch hears first: what changed after the version that it names, or the whole list; and whether it is whole."""
+        after = target.partition("after=")[2]
+        if after.isdigit() and self._history and next(iter(self._history)) <= int(after) + 1 <= self.generation + 1:
+            last = {str(entry["instanceId"]): entry for n, some in self._history.items() if n > int(after) for entry in some}
+            return list(last.values()), False
+        return list(self.entries.values()), True
+
     def node_of(self, connection: Connection) -> str:
         """Who watches; the virtual world knows it by the address."""
         return "node"
@@ -373,8 +457,24 @@
     async def _beat(self, connection: Connection) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            if not self.silent:
+            if not self.silent and connection not in self._mute:
                 try:
-                    await connection.stream.write(b"1\r\n\n\r\n")
+                    await connection.stream.write(_chunk(b"\n"))
                 except OSError:
                     return
+
+
+def _line(generation: int, entries: list[dict[str, object]], full: bool) -> tuple[bytes, list[tuple[int, int]]]:
+    """A line of a watch, and from where to where in it each entry stands, in bytes."""
+    text = json.dumps({"generation": generation, "reset": full, "instances": []})[:-2].encode()
+    spans = []
+    for n, entry in enumerate(entries):
+        text += b", " if n else b""
+        begin = len(text)
+        text += json.dumps(entry).encode()
+        spans.append((begin, len(text)))
+    return text + b"]}\n", spans
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
