A spoilt or cut line of the list is heeded for what it takes away, and asked for anew at once

Change: corkshift/listing.py (sans-I/O) finds the entries that stand whole in an unfinished or spoilt line; forkweir/hearsay.py decides what of them is heeded (only what takes away, never the last server; broken entries of changes hold a server back for 10 s at most); forkweir/asking.py, moved out of choice.py, sends the first call after a loss at once, with a budget of two and one more every 4 s. The broken watch is read on until another has told a whole line. A chunk header that does not end counts as lost framing. A server that drains, and started later than another at its address, ends that one.

--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -1,43 +1,122 @@
-"""Discovery: the watch, and the address book of cache servers."""
+"""Discovery: the watch, what is done when it breaks or can't be read, and the address book of cache servers."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import re
-from collections.abc import AsyncIterator
+from collections.abc import Iterable
+from dataclasses import replace
 from typing import Any, Optional
 
 import h11
-import orjson
 
 from corkshift import seam
-from corkshift.config import address_of
+from corkshift.listing import BadList, Claim, Lines, claims_of, parse, read
 from corkshift.node import Node
 from corkshift.seam import Address, now_ms
 from corkshift.stream import Stream
 from corkshift.upstream import CacheServer, Pool
 from forkweir import Server
+from forkweir.hearsay import SUSPECT_MS, Hearsay, Word
 
 log = logging.getLogger(__name__)
 
-STATES = {"in_service": "in", "terminating": "draining", "terminated": "gone"}
 CALL_S = 3.2  # a call that is not answered by then has failed; twice as long after each one that was not answered at all,
 CALL_MOST_S = 6.4  # and no longer (what it would tell counts as told by then)
 SILENT_S = 4.3  # more than two heartbeats: the watch has fallen silent,
 STUCK_S = 1.0  # or has stopped in the middle of a line
-MAX_LINE = 1 << 20
-MOST_SERVERS = 4_096  # of one list
-MOST_WEIGHT = 1_000.0
-NAME_FORM = re.compile(r"[!-~]{1,128}")
+PAUSE_S = 0.1  # a line that has stopped for so long is taken for a broken one, as far as it takes away
+CHUNK_HEAD = 64  # bytes; a size of 16 digits and a short extension (RFC 9112, 7.1)
+FADING_MOST = 2  # broken watches that are read until another one tells a whole line,
+FADING_S = 10.0  # and for how long
 
 
-class BadList(Exception):
-    """Discovery wrote what is no list."""
+class Watch:
+    """One call to discovery, from its dial to its end."""
+
+    def __init__(self, address: Address, generation: Optional[int], patience_s: float) -> None:
+        self.address = address
+        self.generation = generation
+        self.patience_s = patience_s
+        self.begun = False  # discovery has answered
+        self.carried = False  # a whole line has come
+        self.fading = False  # something of it is lost, and another is to take its place: only what takes away is heeded
+        self.lines = Lines()
+        self.stream: Optional[Stream] = None
+        self._parser = h11.Connection(h11.CLIENT)
+        self._framed = True
+        self._latest = b""  # what the parser was last given, and what it then still held
+        self._left = b""  # of that, what is to be looked at again, once the framing is lost
+
+    async def call(self) -> None:
+        """Dial and ask; OSError (TimeoutError among them), h11.RemoteProtocolError or BadList where there is no watch."""
+        sock = seam.stream()
+        try:
+            # One service answers all nodes in turn, and a call that is hung up on keeps its turn (guards against a fleet that
+            # asks anew, over and over, for what each of its nodes would have been told a moment later). Harm: one that is
+            # silent for good is found so later.
+            async with asyncio.timeout(self.patience_s):
+                await seam.connect(sock, self.address)
+                self.stream = Stream(sock)
+                after = "" if self.generation is None else f"&after={self.generation}"
+                target = f"/discovery/hosts?watch=1{after}"
+                host = f"{self.address[0]}:{self.address[1]}"
+                request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+                await self.stream.write(self._parser.send(request) + self._parser.send(h11.EndOfMessage()))
+                while isinstance(event := await self._event(), h11.InformationalResponse):
+                    pass
+        except BaseException:
+            if self.stream is None:
+                sock.close()
+            raise
+        self.begun = True
+        if not isinstance(event, h11.Response) or event.status_code != 200:
+            raise BadList(f"answered {event!r:.80}")
+
+    async def _event(self) -> object:
+        assert self.stream is not None
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            held = self._parser.trailing_data[0]
+            if self.begun and len(held) > CHUNK_HEAD:
+                # The parser waits for a line's end that may never come (guards against a change that stands there meanwhile).
+                raise h11.RemoteProtocolError(f"chunk header of over {CHUNK_HEAD} bytes")
+            data = await self.stream.read()
+            self._latest = held + data
+            self._parser.receive_data(data)
+        return event
+
+    async def data(self) -> bytes:
+        """The next bytes of the body, or of whatever comes once its framing is lost; none at the end.
+
+        TimeoutError where the watch has fallen silent, h11.RemoteProtocolError once, where the framing is lost.
+        """
+        async with asyncio.timeout(STUCK_S if self.lines.unfinished else SILENT_S):
+            if self._framed:
+                try:
+                    event = await self._event()
+                except h11.RemoteProtocolError:
+                    self._framed = False
+                    self._left = self._latest
+                    raise
+                return bytes(event.data) if isinstance(event, h11.Data) else b""
+            if self._left:
+                left, self._left = self._left, b""
+                return left
+            assert self.stream is not None
+            return await self.stream.read()
+
+    def end(self) -> None:
+        """Hang up."""
+        if self.stream is not None:
+            self.stream.abort()
 
 
 class Discovery:
-    """Keeps the node's list by one watch, begun when the module asks."""
+    """Keeps the node's list by one watch, begun when the module asks.
+
+    A watch that was lost in part is read on until another one has told a whole line (make before break: what discovery writes to it
+    meanwhile counts as told), but only for what takes servers away (`listing.claims_of`, `forkweir.hearsay`).
+    """
 
     def __init__(self, node: Node, pool: Pool, address: Address) -> None:
         self._node = node
@@ -45,13 +124,20 @@
         self._address = address
         self._generation: Optional[int] = None
         self._watch: Optional[asyncio.Task[None]] = None
+        self._current: Optional[Watch] = None
+        self._fading: dict[asyncio.Task[None], Watch] = {}  # oldest first
         self._patience_s = CALL_S
+        self._hearsay = Hearsay()
+        self._lapsing: Optional[asyncio.TimerHandle] = None
+        self._told: dict[str, Server] = {}  # each server of the address book as a whole line last told it
 
     def start(self, known: dict[str, Any]) -> None:
         """Begin with the list as this node last had it."""
         entries: list[Server] = []
         try:
-            entries = self._take({**known, "reset": True}) if known else []
+            if known:
+                generation, _, pairs = read(known)
+                entries = self._take(generation, True, pairs)
         except BadList as error:
             log.warning("the known list is of no use: %s", error)
         self._node.on_list("saved", entries)
@@ -59,87 +145,181 @@
     def follow(self) -> None:
         """Ask for changes from now on, unless a watch is at it already."""
         if self._watch is None or self._watch.done():
-            self._watch = asyncio.create_task(self._run())
+            self._current = Watch(self._address, self._generation, self._patience_s)
+            self._watch = asyncio.create_task(self._run(self._current))
 
     def move(self, address: Address) -> None:
         """Discovery is at another address from now on: ask there at once, for the whole list.
 
         Guards against a list that stands still, as a place that moved lets its old watches lapse. Another service need not
         count generations alike, so what was heard so far is no ground to ask for changes alone. Until the new place answers
-        the list stays as it is.
+        the list stays as it is, but for what the old one still takes away.
         """
         self._address = address
         self._generation = None
-        if self._watch is not None:
-            self._watch.cancel()
-            self._watch = None
+        self._fade()
         self.follow()
 
-    async def _run(self) -> None:
+    def _fade(self) -> None:
+        """The current watch is to be replaced: it is read on for what takes away, if it ever began."""
+        task, watch = self._watch, self._current
+        self._watch = self._current = None
+        if task is None or watch is None or task.done():
+            return
+        if not watch.begun:
+            task.cancel()
+            return
+        watch.fading = True
+        self._fading[task] = watch
+        limit = asyncio.get_running_loop().call_later(FADING_S, task.cancel)
+
+        def gone(done: asyncio.Task[None]) -> None:
+            limit.cancel()
+            del self._fading[done]
+
+        task.add_done_callback(gone)
+        for old in list(self._fading)[:-FADING_MOST]:
+            old.cancel()
+
+    # -- one watch -----------------------------------------------------------------------
+
+    async def _run(self, watch: Watch) -> None:
         try:
-            async for line in self._lines():
-                if line:
-                    self._line(line)
+            await self._follow(watch)
             log.info("the watch ended")
+            self._ended(watch)
         except (OSError, h11.RemoteProtocolError, BadList) as error:
             log.info("the watch failed: %s: %s", type(error).__name__, error)
+            self._ended(watch)
         except Exception:
             log.exception("the watch failed")
-        self._node.on_list("failed", [])
+            self._ended(watch)
+        finally:
+            watch.end()
 
-    async def _lines(self) -> AsyncIterator[bytes]:
-        """The watch's lines as they come whole."""
-        sock = seam.stream()
-        stream = None
+    async def _follow(self, watch: Watch) -> None:
+        """Take what a watch tells until it ends; from when something of it is lost on, only what it takes away."""
         try:
-            # One service answers all nodes in turn, and a call that is hung up on keeps its turn (guards against a fleet that
-            # asks anew, over and over, for what each of its nodes would have been told a moment later). Harm: one that is
-            # silent for good is found so later.
+            await watch.call()
+        except TimeoutError:
+            self._patience_s = min(CALL_MOST_S, 2.0 * watch.patience_s)
+            raise
+        self._patience_s = CALL_S
+        while data := await self._next(watch):
+            for line in watch.lines.receive(data):
+                if watch.fading:
+                    self._heed(claims_of(line))
+                elif line:
+                    self._line(watch, line)
+            if watch.lines.unfinished:
+                self._heed(watch.lines.claims())
+
+    async def _next(self, watch: Watch) -> bytes:
+        """The next bytes. A line that stops in its middle is heeded as it is, and given up after STUCK_S."""
+        if watch.lines.unfinished and not watch.fading:
             try:
-                async with asyncio.timeout(self._patience_s):
-                    await seam.connect(sock, self._address)
-                    stream = Stream(sock)
-                    after = "" if self._generation is None else f"&after={self._generation}"
-                    parser = h11.Connection(h11.CLIENT)
-                    target = f"/discovery/hosts?watch=1{after}"
-                    request = h11.Request(method="GET", target=target, headers=[("Host", f"{self._address[0]}:{self._address[1]}")])
-                    await stream.write(parser.send(request) + parser.send(h11.EndOfMessage()))
-                    while isinstance(event := await _event(parser, stream), h11.InformationalResponse):
-                        pass
+                async with asyncio.timeout(PAUSE_S):
+                    return await watch.data()
             except TimeoutError:
-                self._patience_s = min(CALL_MOST_S, 2.0 * self._patience_s)
+                self._heed(claims_of(watch.lines.rest()))
+        try:
+            return await watch.data()
+        except TimeoutError:
+            if not watch.lines.unfinished or watch.fading:
                 raise
-            self._patience_s = CALL_S
-            if not isinstance(event, h11.Response) or event.status_code != 200:
-                raise BadList(f"answered {event!r:.80}")
-            part = b""
-            while True:
-                async with asyncio.timeout(STUCK_S if part else SILENT_S):
-                    event = await _event(parser, stream)
-                if not isinstance(event, h11.Data):
-                    return
-                *lines, part = (part + bytes(event.data)).split(b"\n")
-                for line in lines:
-                    yield line.strip()
-                if len(part) > MAX_LINE:
-                    raise BadList("a line without end")
-        finally:
-            if stream is not None:
-                stream.abort()
-            sock.close()
+            self._lose(watch, "a line that goes no further")
+        except h11.RemoteProtocolError as error:
+            # The framing is lost, and with it where lines end; entries can still be told by their braces.
+            self._heed(claims_of(watch.lines.rest()))
+            self._lose(watch, f"no chunk: {error}")
+        return await watch.data()
 
-    def _line(self, line: bytes) -> None:
+    def _line(self, watch: Watch, line: bytes) -> None:
         try:
-            data = orjson.loads(line)
-        except orjson.JSONDecodeError as error:
-            raise BadList(f"not JSON: {error}") from None
-        if not isinstance(data, dict):
-            raise BadList("not an object")
-        self._node.on_list("full" if data.get("reset") else "changes", self._take(data))
-
-    def _take(self, data: dict[str, Any]) -> list[Server]:
+            generation, whole, pairs = parse(line)
+        except BadList as error:
+            self._heed(claims_of(line))
+            self._lose(watch, str(error))
+            return
+        for old in list(self._fading):
+            old.cancel()
+        free = self._hearsay.settle((server.name for server, _ in pairs), whole or not watch.carried)
+        if self._lapsing is not None and not self._hearsay.held:
+            self._lapsing.cancel()
+            self._lapsing = None
+        watch.carried = True
+        entries = self._take(generation, whole, pairs)
+        self._node.on_list("full" if whole else "changes", [*self._back(free), *entries])
+
+    def _lose(self, watch: Watch, why: str) -> None:
+        """Something that a watch told is lost: another one is begun at once, and this one read on for what it still takes away."""
+        if watch.fading:
+            return
+        log.info("the watch failed: BadList: %s", why)
+        self._fade()
+        self._node.on_list("lost", [])
+
+    def _ended(self, watch: Watch) -> None:
+        """A watch is over; where nothing replaces it yet, the module says when to ask again."""
+        cut = watch.lines.unfinished
+        if cut:
+            self._heed(claims_of(watch.lines.rest()))
+        if watch is self._current:
+            self._watch = self._current = None
+            self._node.on_list("lost" if cut else "failed", [])
+
+    # -- what is told --------------------------------------------------------------------
+
+    def _heed(self, claims: list[Claim]) -> None:
+        """Claims of a line that is not whole: servers that drain, are gone or may be get nothing new until a whole line settles it."""
+        book, words = self._node.servers, []
+        for claim in claims:
+            name, state = claim.server.name, claim.server.state
+            there, known = book.get(name), self._told.get(name)
+            if there is not None and known is not None:
+                later = state == "in" and claim.server.started_ms > known.started_ms
+                words.append(Word(name, state, claim.address in (None, there.address), later))
+        if not words:
+            return
+        before = set(self._hearsay.held)
+        in_service = sum(server.leaving_ms is None for server in book.values())
+        words = [word for word in words if word.name in before or book[word.name].leaving_ms is None]
+        back, cold = self._hearsay.heed(words, in_service, now_ms())
+        entries = [replace(self._told[name], state="draining") for name in back]
+        starts = {claim.server.name: claim.server.started_ms for claim in claims}
+        for name in cold:
+            self._told[name] = replace(self._told[name], started_ms=starts[name])
+            if name not in self._hearsay.held:
+                entries.append(self._told[name])
+        for name in back:
+            self._leave(name, gone=False)
+        if back:
+            log.info("held back until a whole list comes: %s", ", ".join(back))
+            if self._lapsing is not None:
+                self._lapsing.cancel()
+            self._lapsing = asyncio.get_running_loop().call_later((SUSPECT_MS + 1.0) / 1000.0, self._lapse)
+        if entries:
+            self._node.on_list("hearsay", entries)
+
+    def _lapse(self) -> None:
+        """Some servers may have been held back for long enough (the last word on any of them is that old)."""
+        self._lapsing = None
+        free = self._back(self._hearsay.lapse(now_ms()))
+        if free:
+            self._node.on_list("hearsay", free)
+
+    def _back(self, names: Iterable[str]) -> list[Server]:
+        """Servers that are no longer held back, as the module shall hear it."""
+        entries = []
+        for name in names:
+            server, known = self._node.servers.get(name), self._told.get(name)
+            if server is not None and known is not None and known.state == "in":
+                server.leaving_ms = None
+                entries.append(known)
+        return entries
+
+    def _take(self, generation: int, whole: bool, pairs: list[tuple[Server, Address]]) -> list[Server]:
         """Bring the address book up to date, and give the entries in the module's terms."""
-        generation, pairs = _read(data)
         book = self._node.servers
         ousted = self._oust(pairs)
         for server, address in pairs:
@@ -151,11 +331,12 @@
                 continue
             if known is None:
                 known = book[server.name] = CacheServer(server.name, address)
+            self._told[server.name] = server
             if server.state == "draining":
                 self._leave(server.name, gone=False)
             else:
                 known.leaving_ms = None
-        if data.get("reset"):
+        if whole:
             for name in book.keys() - {server.name for server, _ in pairs}:
                 self._leave(name, gone=True)
         self._generation = generation
@@ -169,13 +350,28 @@
         """
         taken = {address: server.name for server, address in pairs if server.state == "in"}
         there = {server.name: address for server, address in pairs}
+        latest: dict[Address, Server] = {}  # who leaves from an address, started last
+        for server, address in pairs:
+            if server.state == "draining" and server.started_ms > getattr(latest.get(address), "started_ms", 0.0):
+                latest[address] = server
+
+        def outlived(server: Server, address: Address) -> bool:
+            """Whether one that started there later already leaves (guards against its drain broken under the name of the one before it)."""
+            after = latest.get(address)
+            return after is not None and after.name != server.name and after.started_ms > server.started_ms
+
         gone = []
         for old in list(self._node.servers.values()):
-            if taken.get(old.address, old.name) != old.name and there.get(old.name, old.address) == old.address:
+            another = taken.get(old.address, old.name) != old.name or outlived(self._told[old.name], old.address)
+            if another and there.get(old.name, old.address) == old.address:
                 self._leave(old.name, gone=True)
                 gone.append(Server(old.name, state="gone"))
         named = {server.name for server in gone}
-        pairs[:] = [pair for pair in pairs if pair[0].name not in named and (pair[0].state != "in" or taken[pair[1]] == pair[0].name)]
+        pairs[:] = [
+            (server, address)
+            for server, address in pairs
+            if server.name not in named and (server.state != "in" or (taken[address] == server.name and not outlived(server, address)))
+        ]
         return gone
 
     def _leave(self, name: str, gone: bool) -> None:
@@ -187,42 +383,4 @@
         self._pool.forget(server)
         if gone:
             del self._node.servers[name]
-
-
-async def _event(parser: h11.Connection, stream: Stream) -> object:
-    while (event := parser.next_event()) is h11.NEED_DATA:
-        parser.receive_data(await stream.read())
-    return event
-
-
-def _read(data: dict[str, Any]) -> tuple[int, list[tuple[Server, Address]]]:
-    """What a line holds; an entry that can't be read is left out (guards against one of them costing the whole list)."""
-    try:
-        generation, entries = int(data["generation"]), list(data["instances"])
-    except (KeyError, TypeError, ValueError) as error:
-        raise BadList(f"{type(error).__name__}: {error}") from None
-    if len(entries) > MOST_SERVERS:
-        raise BadList(f"{len(entries)} servers")
-    pairs = []
-    for entry in entries:
-        try:
-            pairs.append((_server_of(entry), address_of(entry["hostPort"])))
-        except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
-            log.warning("an entry of the list is of no use: %s: %s", type(error).__name__, error)
-    return generation, pairs
-
-
-def _server_of(entry: dict[str, Any]) -> Server:
-    name = entry["instanceId"]
-    if not NAME_FORM.fullmatch(name):
-        raise ValueError("no name")
-    return Server(
-        name=name,
-        zone=str(entry.get("zone") or ""),
-        kind=str(entry.get("machineType") or ""),
-        cell=int(entry.get("cell") or 0),
-        state=STATES[entry["lifecycle"]],
-        weight=min(MOST_WEIGHT, max(0.0, float(1.0 if entry.get("weight") is None else entry["weight"]))),
-        # A start still to come would keep a server cold until then.
-        started_ms=min(now_ms(), float(entry.get("startedAtMs") or 0.0)),
-    )
+            self._told.pop(name, None)
--- /dev/null
+++ b/corkshift/listing.py
@@ -0,0 +1,175 @@
+"""What a watch of discovery carries: lines of JSON, and what can still be read of a line that is spoilt or cut. Sans-I/O.
+
+Bytes in; whole lines and claims out. Everything that knows discovery's form lives here; whether a claim is heeded is decided
+in `forkweir/hearsay.py`, and what a whole list does to the node's address book in `discovery`.
+
+A claim is an entry that stands whole, from brace to brace, in bytes that are no whole line yet or never will be. It is what a line
+may still tell whose rest is lost (PROTOCOL: a change is told once discovery has written it). An entry that is cut or overwritten
+tells one thing at the most: which server it was about (state "unreadable").
+
+Bounds: a line of MAX_LINE, of which each byte is looked at once for whole lines and at most twice for claims; MOST_CLAIMS of one line.
+"""
+
+from __future__ import annotations
+
+import logging
+import re
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from corkshift.config import address_of
+from corkshift.seam import Address, now_ms
+from forkweir import Server
+
+log = logging.getLogger(__name__)
+
+MAX_LINE = 1 << 20  # bytes
+MOST_SERVERS = 4_096  # of one list
+MOST_CLAIMS = 4_096  # of one line
+MOST_WEIGHT = 1_000.0
+STATES = {"in_service": "in", "terminating": "draining", "terminated": "gone"}
+NAME_FORM = re.compile(r"[!-~]{1,128}")
+LONGEST_ENTRY = 4_096  # bytes
+_ENTRY = re.compile(rb"\{[^{}]{2,%d}\}" % LONGEST_ENTRY)  # entries hold no objects
+_NAMED = re.compile(rb'"instanceId"\s*:\s*"([!-~]{1,128}?)"')
+_WHOLE_LIST = re.compile(rb'"reset"\s*:\s*true')
+
+
+class BadList(Exception):
+    """Discovery wrote what is no list."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What a spoilt line says of one server. address: None where it can't be read."""
+
+    server: Server  # its state may be "unreadable" as well
+    address: Address | None
+
+
+class Lines:
+    """The body of one watch: whole lines, and what stands whole in the one that has begun."""
+
+    __slots__ = ("_part", "_searched", "_claimed", "_scanned")
+
+    def __init__(self) -> None:
+        self._part = bytearray()
+        self._searched = 0  # no line ends before this byte,
+        self._claimed = 0  # and no entry that is not told yet begins before this one
+        self._scanned = 0  # how much there was when claims were last asked for
+
+    @property
+    def unfinished(self) -> bool:
+        """Whether a line has begun and not ended."""
+        return bool(self._part)
+
+    def receive(self, data: bytes) -> list[bytes]:
+        """The lines that these bytes end, without their ends; BadList for one that is longer than any list."""
+        part = self._part
+        part += data
+        lines = []
+        at = 0
+        while (end := part.find(b"\n", max(at, self._searched))) >= 0:
+            lines.append(bytes(part[at:end]).strip())
+            at = end + 1
+        if at:
+            del part[:at]
+            self._claimed = self._scanned = 0
+        self._searched = len(part)
+        if len(part) > MAX_LINE:
+            raise BadList("a line without end")
+        return lines
+
+    def claims(self) -> list[Claim]:
+        """The entries that have come to stand whole in the unfinished line since this was last asked."""
+        found = []
+        begin = max(self._claimed, self._scanned - LONGEST_ENTRY - 2)
+        self._scanned = len(self._part)
+        for match in _ENTRY.finditer(self._part, begin):
+            self._claimed = match.end()
+            if (claim := _claim(match[0])) is not None:
+                found.append(claim)
+        return found[:MOST_CLAIMS]
+
+    def rest(self) -> bytes:
+        """The unfinished line, as far as it came."""
+        return bytes(self._part)
+
+
+def claims_of(text: bytes) -> list[Claim]:
+    """What can be read of a line that is spoilt or cut: entries that stand whole, and of changes also which server a broken one names.
+
+    A whole list names every server, so that one broken entry of it tells nothing.
+    """
+    found = []
+    rest = bytearray()
+    at = 0
+    for match in _ENTRY.finditer(text):
+        claim = _claim(match[0])
+        rest += text[at : match.start() if claim is not None else match.end()]
+        at = match.end()
+        if claim is not None:
+            found.append(claim)
+    rest += text[at:]
+    if not _WHOLE_LIST.search(rest):
+        known = {claim.server.name for claim in found}
+        names = dict.fromkeys(match[1].decode() for match in _NAMED.finditer(rest))
+        found += [Claim(Server(name, state="unreadable"), None) for name in names if name not in known]
+    return found[:MOST_CLAIMS]
+
+
+def parse(line: bytes) -> tuple[int, bool, list[tuple[Server, Address]]]:
+    """A whole line: its generation, whether it is the whole list, and its entries. BadList where it is none."""
+    try:
+        data = orjson.loads(line)
+    except orjson.JSONDecodeError as error:
+        raise BadList(f"not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise BadList("not an object")
+    return read(data)
+
+
+def read(data: dict[str, Any]) -> tuple[int, bool, list[tuple[Server, Address]]]:
+    """What an object in discovery's form holds; an entry that can't be read is left out (guards against one costing the whole list).
+
+    BadList where the object is no list, or longer than MOST_SERVERS.
+    """
+    try:
+        generation, entries = int(data["generation"]), list(data["instances"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise BadList(f"{type(error).__name__}: {error}") from None
+    if len(entries) > MOST_SERVERS:
+        raise BadList(f"{len(entries)} servers")
+    pairs = []
+    for entry in entries:
+        try:
+            pairs.append((_server_of(entry), address_of(entry["hostPort"])))
+        except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
+            log.warning("an entry of the list is of no use: %s: %s", type(error).__name__, error)
+    return generation, bool(data.get("reset")), pairs
+
+
+def _claim(text: bytes) -> Claim | None:
+    try:
+        entry = orjson.loads(text)
+        return Claim(_server_of(entry), address_of(entry["hostPort"]))
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
+        return None
+
+
+def _server_of(entry: dict[str, Any]) -> Server:
+    name = entry["instanceId"]
+    if not NAME_FORM.fullmatch(name):
+        raise ValueError("no name")
+    return Server(
+        name=name,
+        zone=str(entry.get("zone") or ""),
+        kind=str(entry.get("machineType") or ""),
+        cell=int(entry.get("cell") or 0),
+        state=STATES[entry["lifecycle"]],
+        weight=min(MOST_WEIGHT, max(0.0, float(1.0 if entry.get("weight") is None else entry["weight"]))),
+        # A start still to come would keep a server cold until then.
+        started_ms=min(now_ms(), float(entry.get("startedAtMs") or 0.0)),
+    )
--- /dev/null
+++ b/forkweir/asking.py
@@ -0,0 +1,53 @@
+"""When a node calls discovery again. Pure, no I/O, no clock.
+
+A call that failed, or a watch that ended between two lines, has lost nothing that discovery wrote: the next call waits, longer each time,
+and each wait is drawn (guards against all nodes asking the small list service at once, over and over).
+
+A watch that ended in the middle of a line, or carried what can't be read, may have lost a change, and the rule on drains gives it 250 ms:
+the next call goes out at once, spread by a few ms. Only the nodes that lost something ask, and each has URGENT_MOST such calls, with one
+more every URGENT_MS, so that a service that spoils every line is not asked faster for it. Past that they wait like any other.
+
+Sum over a fleet of N nodes: N * URGENT_MOST calls in the first moment, N / URGENT_MS from then on.
+"""
+
+from __future__ import annotations
+
+import random
+
+WAIT = 0.05  # of the time within which the site wants discovery asked: the shortest wait, doubled from the first on
+LONGEST = 4  # doublings
+URGENT_MS = 4_000.0
+URGENT_MOST = 2.0
+SPREAD_MS = 5.0  # over which urgent calls are spread
+
+
+class Asking:
+    """How long until the next call."""
+
+    __slots__ = ("_within_ms", "_random", "_failures", "_urgent", "_at")
+
+    def __init__(self, within_ms: float, rng: random.Random) -> None:
+        self._within_ms = within_ms
+        self._random = rng
+        self._failures = 0
+        self._urgent = URGENT_MOST
+        self._at = 0.0
+
+    def first(self) -> float:
+        """How long a node that starts waits, in ms."""
+        return self._within_ms * 0.3 * self._random.random()
+
+    def heard(self) -> None:
+        """A line was read whole."""
+        self._failures = 0
+
+    def wait(self, lost: bool, now: float) -> float:
+        """A call failed or a watch ended; lost: in the middle of a line, or with one that can't be read. How long to wait, in ms."""
+        self._failures = min(self._failures + 1, LONGEST)
+        if lost:
+            self._urgent = min(URGENT_MOST, self._urgent + max(0.0, now - self._at) / URGENT_MS)
+            self._at = now
+            if self._urgent >= 1.0:
+                self._urgent -= 1.0
+                return SPREAD_MS * self._random.random()
+        return self._within_ms * WAIT * 2.0**self._failures * (0.3 + self._random.random())
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -16,6 +16,7 @@
 
 from forkweir.advice import Advice, Cause
 from forkweir.allowance import Allowances
+from forkweir.asking import Asking
 from forkweir.fetches import PASS, Fetches
 from forkweir.fleet import CALM, FAULTS_ROW, Fleet, Member
 from forkweir.gate import (
@@ -72,7 +73,7 @@
         "probes",
         "gate",
         "least_worth",
-        "failures",
+        "asking",
         "fallback",
         "usual",
         "waits",
@@ -103,7 +104,7 @@
         self.allowances = Allowances(settings.fall_multiple, max(worths, default=1.0), seed)
         self.fetches = Fetches(max(worths, default=1.0))
         self.advice = Advice(settings.backoff_max_ms, seed)
-        self.failures = 0
+        self.asking = Asking(settings.ask_within_ms, self.random)
         self.usual = HEDGE_MOST  # the part of their aims in which HEDGE_PART of the attempts are answered
         self.waits: list[tuple[float, int]] = []  # a heap: when each request sent lately will have been out for long
         self.looks = False  # whether a look at them is due
@@ -111,24 +112,21 @@
     # -- the server list ---------------------------------------------------------------
 
     def on_list(self, now: float, form: str, entries: Iterable[Server]) -> list[Action]:
-        """The list: "saved", "full", "changes" or "failed"."""
-        if form == "failed":
-            # Calls are spread out and back off (guards against all nodes asking the small
-            # list service at once, over and over).
-            self.failures = min(self.failures + 1, 4)
-            wait = self.settings.ask_within_ms * 0.05 * 2.0**self.failures
-            return [self._ask_at(now + wait * (0.3 + self.random.random()))]
-        self.fleet.take(now, entries, form != "changes")
+        """The list: "saved", "full" or "changes"; "hearsay" of it (see there); "failed", or "lost" where some of it may be."""
+        if form in ("failed", "lost"):
+            return [self._ask_at(now + self.asking.wait(form == "lost", now))]
+        self.fleet.take(now, entries, form in ("saved", "full"))
         if self.fleet.ranges != self.line.ranges:
             self.line = Line(self.fleet.ranges)
         if form == "saved":
             actions: list[Action] = []
             if self.settings.asked:
-                actions.append(self._ask_at(now + self.settings.ask_within_ms * 0.3 * self.random.random()))
+                actions.append(self._ask_at(now + self.asking.first()))
             if self.settings.may_probe and self.settings.reports == "on_probe" and not self.probes:
                 actions.append(("timer", 2, now + PROBE_MS * 0.2 * self.random.random()))
             return actions
-        self.failures = 0
+        if form != "hearsay":
+            self.asking.heard()
         return []
 
     def _ask_at(self, due: float) -> Action:
