--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -18,9 +18,8 @@
 from forkweir.allowance import Allowances
 from forkweir.asking import Asking
 from forkweir.fetches import PASS, Fetches
-from forkweir.fleet import CALM, FAULTS_ROW, Fleet, Member
+from forkweir.fleet import CALM, Fleet, Member
 from forkweir.gate import (
-    LONG,
     ORIGIN_DOWN,
     ORIGIN_SLOW,
     USUAL_BAD,
@@ -31,6 +30,7 @@
 from forkweir.patience import Patience
 from forkweir.request import Request
 from forkweir.savings import ERRORS, REPEATS, Savings
+from forkweir.seen import Seen
 from forkweir.settings import (
     Action,
     ClassSpec,
@@ -39,7 +39,6 @@
 )
 from forkweir.work import Costs
 
-QUICK = 0.25  # an error that comes within this part of its request's aim has cost next to nothing
 PROBE_MS = 500.0  # between probes, where load reports come with probes alone
 FIRST_PROBES = 20  # at the start, at five times that pace
 WRITE_TRIAL = 0.05  # part of the writes that go on to try it
@@ -52,8 +51,6 @@
 TRIAL_PART = 0.35  # and what tries a server that was found to be bad after this part
 HEDGE_STEP_MS = 5.0  # between two looks at which are
 COLD_LOOKS = 8  # servers beyond a range's neighbours that are asked for room where all are cold
-HEARD = frozenset({"success", "overloaded", "failure", "absent", "spoilt", "broken"})  # something came back
-NEVER_RAN = frozenset({"overloaded", "unreachable", "void", "absent"})
 
 
 class Balancer:
@@ -394,50 +391,27 @@
     ) -> list[Action]:
         """An attempt ended."""
         member = self.fleet.members.get(server)
+        request = self.held.get(request_id)
+        seen = self._seen(request, attempt, member, status, note, elapsed_ms, request_id, now)
         if member is not None:
-            trial = member.trial == request_id
-            if status in ("success", "overloaded", "failure", "absent"):
-                self.fleet.proved(member, now)
-            elif status in FAULTS_ROW:
-                self.fleet.fault(member, status, now)
-            elif status == "timed_out" and trial and member.strikes:
-                self.fleet.strike(member, now)
-            if status in HEARD:
-                member.waited, member.heard_ms = 0, now
-            if status not in ("void", "withdrawn", "broken"):
-                self.fleet.zones.heard(member.info.zone, status, now)
-            if status in ("success", "overloaded"):
-                self.fleet.took(member, status == "overloaded")
-            held = self.held.get(request_id)
-            missed = held.fetches.get(attempt, (0.0, False))[0] if held is not None else 0.0
-            bad = self._doubted(held, attempt, member, status, elapsed_ms, trial, now) if held is not None else 0.0
-            self.gate.judge(member, status, note, elapsed_ms, held, now, missed, bad)
-            if held is not None and status == "success" and not self.fleet.is_cold(member, now):
-                if note <= 1 and not held.work:
-                    self.costs.learn(held.spec, elapsed_ms)
-                if elapsed_ms <= held.spec.aim_ms:
-                    self.allowances.borne(held.cost)
-            if member.account is not None and held is not None and self.fleet.is_cold(member, now):
-                if status in ("overloaded", "timed_out") or (status == "success" and elapsed_ms > held.spec.aim_ms):
-                    self.allowances.pressed(member.account, now)
-                elif status == "success":
-                    self.allowances.eased(member.account)
-            if held is not None and held.spec.aim_ms and status in ("success", "timed_out"):
-                self._learn(status == "timed_out" or elapsed_ms > self.usual * held.spec.aim_ms)
+            self.fleet.judge(member, seen, now)
+            bad = self.fleet.doubted(member, seen, now)
+            self.gate.judge(member, seen, bad, now)
+            if request is not None:
+                self._load(request, member, seen, now)
             if load:
                 self.fleet.report(member, load, now)
-        request = self.held.get(request_id)
         if request is None:
             return []
-        self._fetched(request, attempt, status, note, server, elapsed_ms, now)
+        self._fetched(request, attempt, seen, server, now)
         if finished:
-            if status == "success" and len(request.out) > 1:
+            if seen.served and len(request.out) > 1:
                 self._overtaken(request, attempt, now)
             self._settle(request)
             del self.held[request_id]
             return []
         request.out.discard(attempt)
-        if status not in NEVER_RAN and request.ran is None and attempt < len(request.servers):
+        if seen.may_have_run and request.ran is None and attempt < len(request.servers):
             request.ran = request.servers[attempt]
             request.first_ran = request.sent[attempt]
         if request.out or request.streaming:
@@ -448,20 +422,20 @@
             return [self._send(request, self.fleet.origin, now)]
         left = request.aim_at - now
         # A server whose answer was lost on the way has done the work and keeps what it fetched: it is asked again, once.
-        fault = status in FAULTS_ROW
-        again = member if fault and member is not None and self.fleet.usable(member, now) and self._has_room(member, request, now) else None
+        again = member if seen.fault and member is not None and self.fleet.usable(member, now) else None
+        if again is not None and not self._has_room(again, request, now):
+            again = None
         if again is not None and (again.faults > 1 or request.servers.count(again) > 1):
             again = None
-        if status == "overloaded" and left > 0.25 * request.spec.aim_ms and request.tries < self.settings.max_attempts:
+        if seen.full and left > 0.25 * request.spec.aim_ms and request.tries < self.settings.max_attempts:
             calm = self._calm(request, now)
             if calm is not None and self._may_repeat(request, calm, now):
                 return [self._send(request, calm, now)]
         # A repeat of a miss is one more miss (guards against repeats that keep the origin down).
         hopeful = request.ran is None or again is not None or self.gate.origin_slow <= ORIGIN_SLOW
         # While little else goes wrong, faults do not come of load and need no savings (guards against a bank emptied by resets).
-        free = fault and self.gate.bad < USUAL_BAD
-        cheap = status == "failure" and elapsed_ms < QUICK * request.spec.aim_ms
-        savings = self.errors if cheap else self.repeats
+        free = seen.fault and self.gate.bad < USUAL_BAD
+        savings = self.errors if seen.quick_error(request.spec.aim_ms) else self.repeats
         if hopeful and left > 0.25 * request.spec.aim_ms and request.tries < self.settings.max_attempts and (free or savings.enough):
             target = again or self._pick(request, now)
             if target is not None and (again or target not in request.servers) and self._may_repeat(request, target, now):
@@ -470,36 +444,54 @@
                 return [self._send(request, target, now)]
         return [self._end(request, now)]
 
-    def _fetched(self, request: Request, attempt: int, status: str, note: int, server: str, elapsed_ms: float, now: float) -> None:
+    def _seen(
+        self, request: Optional[Request], attempt: int, member: Optional[Member], status: str, note: int, elapsed_ms: float,
+        request_id: int, now: float,
+    ) -> Seen:  # fmt: skip
+        """An outcome with what its attempt had."""
+        trial = member is not None and member.trial == request_id
+        if request is None:
+            return Seen(status, note, elapsed_ms, None, trial=trial)
+        expected, known = request.fetches.get(attempt, (0.0, False))
+        return Seen(
+            status, note, elapsed_ms, request.spec, work_ms=request.work, write=request.write, known=known, likely_miss=expected,
+            cold=member is not None and self.fleet.is_cold(member, now), trial=trial, tries=request.tries,
+        )  # fmt: skip
+
+    def _load(self, request: Request, member: Member, seen: Seen, now: float) -> None:
+        """What an outcome tells of what servers bear."""
+        if not seen.cold:
+            if seen.cost_told:
+                self.costs.learn(request.spec, seen.elapsed_ms)
+            if seen.in_time:
+                self.allowances.borne(request.cost)
+        elif member.account is not None:
+            if seen.pressed:
+                self.allowances.pressed(member.account, now)
+            elif seen.served:
+                self.allowances.eased(member.account)
+        longer = seen.longer_than(self.usual)
+        if longer is not None:
+            self._learn(longer)
+
+    def _fetched(self, request: Request, attempt: int, seen: Seen, server: str, now: float) -> None:
         """An attempt has ended: what it tells of the origin."""
         if attempt not in request.fetches:
             return
         fetches = self.fetches
-        expected, known = request.fetches.pop(attempt)
-        fetches.back(expected, now if status in ("success", "timed_out", "failure") else None)
-        missed = note >= 2 or (request.write and status == "success")
+        del request.fetches[attempt]
+        fetches.back(seen.likely_miss, now if seen.fetch_over else None)
         jammed = self.gate.slow > USUAL_SLOW  # servers are slow by themselves: a time-out tells nothing of the origin
-        if not request.write and (status == "success" or (status == "timed_out" and not jammed)):
-            fetches.learn(known, missed or status == "timed_out")
-        if status == "success":
+        missed = seen.missed(jammed)
+        if missed is not None:
+            fetches.learn(seen.known, missed)
+        if seen.served:
             fetches.served(request.position, server, request.write, now)
-            if missed and not jammed:
-                fetches.judge(elapsed_ms / request.spec.aim_ms, now)
-        elif not jammed and (status == "failure" or (status == "timed_out" and expected > PASS)):
+            if seen.fetched and not jammed:
+                fetches.judge(seen.elapsed_ms / request.spec.aim_ms, now)
+        elif not jammed and seen.fetch_lost(PASS):
             fetches.judge(None, now)
 
-    def _doubted(
-        self, request: Request, attempt: int, member: Member, status: str, elapsed_ms: float, trial: bool, now: float
-    ) -> float:
-        """How likely a server is bad, as far as an attempt tells: not one that was turned away, or had little time."""
-        known = request.fetches.get(attempt, (0.0, False))[1]
-        sort = "write" if request.write else "cold" if self.fleet.is_cold(member, now) else "known" if known else "unknown"
-        late = elapsed_ms > LONG * request.spec.aim_ms
-        if status == "success" or status == "failure" or (late and status in ("timed_out", "withdrawn")):
-            wrong = status != "success" or elapsed_ms > request.spec.aim_ms
-            return self.fleet.doubted(member, sort, wrong, trial, now)
-        return 0.0
-
     def _settle(self, request: Request) -> None:
         """A request is over: nothing of it is expected of the origin any more."""
         for expected, _ in request.fetches.values():
@@ -517,7 +509,8 @@
             member = request.servers[n]
             if n < winner:
                 self._learn(True)
-                self._doubted(request, n, member, "withdrawn", now - request.sent[n], member.trial == request.id, now)
+                out = self._seen(request, n, member, "withdrawn", 0, now - request.sent[n], request.id, now)
+                self.fleet.doubted(member, out, now)
             if n < winner and self.gate.origin_slow < ORIGIN_SLOW and member is not request.servers[winner]:
                 self.fleet.strained(member, now, self.gate.blame(), True)
 
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -11,6 +11,7 @@
 from forkweir.allowance import Account
 from forkweir.doubt import Doubts, Record
 from forkweir.line import digest
+from forkweir.seen import Seen
 from forkweir.settings import Server, Settings
 from forkweir.speeds import Pace, Speeds
 from forkweir.zones import Zones
@@ -322,10 +323,6 @@
         member.trial = -1
         member.out_until = now + min(EJECT_MAX_MS, EJECT_MS * 2.0 ** min(8, member.strikes - 1))
 
-    def took(self, member: Member, away: bool) -> None:
-        """Note an attempt that a server turned away, or served."""
-        member.turned += TURNED_STEP * (away - member.turned)
-
     def calm(self, r: int, tried: list[Member], now: float) -> Optional[Member]:
         """The server nearest to a range that has room, if there is one.
 
@@ -340,6 +337,20 @@
                 return member
         return None
 
+    def judge(self, member: Member, seen: Seen, now: float) -> None:
+        """Note what an outcome tells of whether a server is there and has room."""
+        if seen.alive:
+            self.proved(member, now)
+        elif seen.fault:
+            self.fault(member, seen.status, now)
+        elif seen.hung and seen.trial and member.strikes:
+            self.strike(member, now)
+        if seen.heard:
+            member.waited, member.heard_ms = 0, now
+        self.zones.heard(member.info.zone, seen, now)
+        if seen.away is not None:
+            member.turned += TURNED_STEP * (seen.away - member.turned)
+
     def fault(self, member: Member, status: str, now: float) -> None:
         """Note a connection that failed, or an answer that could not be read.
 
@@ -367,15 +378,18 @@
             return False
         return sum(1 for other in self.placed if other.present and other.out_until > now) < SILENT_MOST * self.live
 
-    def doubted(self, member: Member, sort: str, wrong: bool, trial: bool, now: float) -> float:
+    def doubted(self, member: Member, seen: Seen, now: float) -> float:
         """Note how an attempt went; how likely its server is bad. One that is is kept out, but for trials, where most are not."""
+        sort, wrong = seen.sort, seen.wrong
+        if wrong is None:
+            return 0.0
         common = wrong and self.doubts.common(sort, sum(m.present and m.record.bad for m in self.placed) / max(1, self.live))
         bad = self.doubts.judge(member.record, sort, wrong, now, common)
         if common:
             for other in self.placed:
                 if other.record.row and not other.strikes:
                     other.out_until, other.record.row = 0.0, 0
-        elif wrong and member.record.bad and (trial or not member.record.row):
+        elif wrong and member.record.bad and (seen.trial or not member.record.row):
             member.out_until = max(member.out_until, now + self.doubts.wait(member.record))
         elif not wrong and not member.strikes:
             member.out_until = 0.0
--- a/forkweir/gate.py
+++ b/forkweir/gate.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 from math import exp
-from typing import Optional
 
 from forkweir.fleet import STRAIN_MS, Fleet, Member
-from forkweir.request import Request
+from forkweir.seen import Seen
 
 ORIGIN_STEP = 0.1  # weight of one miss in the judgement of the origin
 ORIGIN_SLOW = 0.6  # misses that take this part of the aim on average: the origin is in trouble
 ORIGIN_DOWN = 0.8  # and this part: it serves hardly any miss in time
-LONG = 0.5  # an attempt that had this part of the aim tells of its server, by its time-out too
 SLOW_HIT = 0.5  # a hit that takes this part of the aim strains its server
 GATE_SHUT = 0.85  # each bad outcome multiplies the part of the keys that is let in
 GATE_OPEN = 0.015  # and each good one adds this,
@@ -42,21 +40,13 @@
         self.hits = 1.0  # part of late outcomes that were hits
         self.slow = 0.0  # part of late hits that were slow
 
-    def judge(
-        self, member: Member, status: str, note: int, elapsed_ms: float, request: Optional[Request], now: float, missed: float,
-        bad: float,
-    ) -> None:  # fmt: skip
-        """Tell a slow server from a slow origin by hits and misses.
-
-        missed, bad: how likely the attempt was to miss, and its server to be bad, 0 to 1.
-        """
-        aim = request.spec.aim_ms if request is not None else 0.0
-        # Time that ran out before most answers come tells of nobody (guards against clients that repeat with little time left,
-        # whose time-outs pass for overload and get more refused, who repeat).
-        if status == "timed_out" and elapsed_ms < LONG * aim:
+    def judge(self, member: Member, seen: Seen, bad: float, now: float) -> None:
+        """Tell a slow server from a slow origin by hits and misses. bad: how likely the server is to be bad, 0 to 1."""
+        if seen.brief:
             return
-        work = request.work if request is not None else 0.0
-        if status == "success":
+        aim, elapsed_ms = seen.aim_ms, seen.elapsed_ms
+        hit = seen.served and seen.told_hit
+        if seen.served:
             # While much goes wrong it opens by time and not by answers (guards against nodes with
             # many requests admitting keys faster than the origin can fetch them).
             more = GATE_OPEN if self.bad < USUAL_BAD else min(GATE_OPEN, GATE_OPEN_BAD * (now - self.good_ms))
@@ -72,9 +62,9 @@
                 # says nothing new of the others unless hits are slow at large (guards against a fleet
                 # of servers that are all avoided): neither shuts the gate. Two full queues do. Nor does
                 # a zone in which nothing answers (guards against a cut link taken for overload).
-                (status == "overloaded" and request is not None and request.tries > 1)
+                (seen.full and seen.tries > 1)
                 or (
-                    status == "timed_out"
+                    seen.timed_out
                     and bad <= 0.5
                     and (self.slow > JAM or member.strain * exp((member.strain_ms - now) / STRAIN_MS) < 1.0)
                     and not self.fleet.zones.quiet(member.info.zone)
@@ -85,43 +75,42 @@
             # Quick hits tell that only misses suffer (guards against turning away what a full cache
             # can serve, as a slow origin makes misses late). Not so full queues: what is turned away there is drawn without
             # regard to its worth (guards against orders refused by servers that are full of reads).
-            least = GATE_LEAST if self.slow > USUAL_SLOW or status == "overloaded" else GATE_LEAST_QUICK
+            least = GATE_LEAST if self.slow > USUAL_SLOW or seen.full else GATE_LEAST_QUICK
             self.part = min(self.part, max(least, self.part * GATE_SHUT))
         # What all servers do alike says nothing against one (guards against keys scattered over
         # servers that are no better, which turns hits into misses).
-        slow = status == "success" and note == 1 and elapsed_ms > SLOW_HIT * aim + 2.0 * work and aim > 0.0
-        if status in ("success", "timed_out", "overloaded"):
-            self.bad += BAD_STEP * (1.0 - bad) * ((status != "success") - self.bad)
-        if status in ("success", "timed_out", "overloaded", "failure"):
-            self.hits += BAD_STEP * ((status == "success" and note == 1) - self.hits)
-        if status == "success" and note == 1:
+        slow = hit and elapsed_ms > SLOW_HIT * aim + 2.0 * seen.work_ms and aim > 0.0
+        if seen.served or seen.timed_out or seen.full:
+            self.bad += BAD_STEP * (1.0 - bad) * ((not seen.served) - self.bad)
+        if seen.served or seen.timed_out or seen.full or seen.error:
+            self.hits += BAD_STEP * (hit - self.hits)
+        if hit:
             self.slow += BAD_STEP * (slow - self.slow)
         # A bad server tells nothing of the origin (guards against a gate shut for all by the quick errors of a few). An origin in
         # trouble shows at many servers.
-        if status == "failure" or note >= 2:
-            part = 1.0 if status == "failure" or not aim else min(1.0, elapsed_ms / aim)
+        if seen.error or seen.told_miss:
+            part = 1.0 if seen.error or not aim else min(1.0, elapsed_ms / aim)
             # A failure tells of it as far as a miss was likely: a server that fails what it is asked fails hits as well, and held
             # beside misses alone these pass for an origin in trouble (guards against half the fleet's errors that stop repeats
             # and shut the gate while the other half has room). Harm: where nothing but errors comes, it takes some more of them.
-            likely = 1.0 if note >= 2 else max(missed, FEW_HITS - self.hits)
+            likely = 1.0 if seen.told_miss else max(seen.likely_miss, FEW_HITS - self.hits)
             self.origin_slow += ORIGIN_STEP * (1.0 - bad) * likely * (part - self.origin_slow)
             # An origin that is down with empty caches before it gets no further while most keys are
             # misses (guards against a collapse that outlasts its cause).
             if self.origin_slow > ORIGIN_DOWN and self.hits < FEW_HITS:
                 self.part = min(self.part, GATE_LEAST)
-        elif status in ("timed_out", "overloaded", "failure"):
+        elif seen.timed_out or seen.full or seen.error:
             # While the origin is slow keys stay where they are (guards against scattered
             # keys turning hits into misses and keeping the origin down).
             if self.origin_slow < ORIGIN_SLOW:
-                late = status == "timed_out"
                 # A time-out of what was likely to miss tells of the origin (guards against keys leaving the home that holds them
                 # for an answer that no server could have given; away from home, reads missed twice as often).
-                blame = self.blame() * ((1.0 - missed) ** 2 if late else 1.0)
+                blame = self.blame() * ((1.0 - seen.likely_miss) ** 2 if seen.timed_out else 1.0)
                 if blame > 0.0:  # 0 would count as a good answer
-                    self.fleet.strained(member, now, blame, late)
-        elif status == "success" and note == 1 and aim:
-            if work:
-                self.fleet.speeds.hit(member.info.kind, work, elapsed_ms)
+                    self.fleet.strained(member, now, blame, seen.timed_out)
+        elif hit and aim:
+            if seen.work_ms:
+                self.fleet.speeds.hit(member.info.kind, seen.work_ms, elapsed_ms)
             if slow:
                 self.fleet.strained(member, now, 0.5 * max(0.05, 1.0 - 5.0 * self.slow), True)
             else:
--- a/forkweir/zones.py
+++ b/forkweir/zones.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from forkweir.seen import Seen
+
 CUT_AFTER = 4  # unanswered attempts in a row at one other zone: its links are held to be cut
 SILENT_AIMS = 2.0  # or as many out with no answer for this many times the aim, while the own zone answers
 CUT_MS = 1_000.0  # between two trials of a zone that is held to be cut off
@@ -30,9 +32,12 @@
         """Whether another zone has left so many attempts in a row unanswered that it may be cut off."""
         return zone != self.own and self.unheard.get(zone, 0) >= CUT_AFTER
 
-    def heard(self, zone: str, status: str, now: float) -> None:
+    def heard(self, zone: str, seen: Seen, now: float) -> None:
         """Note whether a zone answers (guards against trying each server behind a cut link in turn)."""
-        if status not in ("unreachable", "timed_out"):
+        answers = seen.zone_answers
+        if answers is None:
+            return
+        if answers:
             self.unheard[zone] = 0
             self.silent.pop(zone, None)
             if zone == self.own:
@@ -41,7 +46,7 @@
             return
         self.unheard[zone] = self.unheard.get(zone, 0) + 1
         # Time-outs count, but overload brings them too: only a failed dial declares a cut.
-        if self.unheard[zone] >= CUT_AFTER and status == "unreachable" and zone != self.own:
+        if self.unheard[zone] >= CUT_AFTER and seen.fault and zone != self.own:
             self.cut_until[zone] = now + CUT_MS
 
     def sent(self, zone: str, aim_ms: float, now: float) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,7 +13,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from forkweir.choice import NEVER_RAN, Balancer
+from forkweir.choice import Balancer
+from forkweir.seen import NEVER_RAN
 from forkweir.settings import Action, ClassSpec, Server, Settings
 
 CLASSES = (
