--- a/corkshift/admin/status.py
+++ b/corkshift/admin/status.py
@@ -35,7 +35,7 @@
         return self.frontend.duty.resume(now_ms())
 
     def lines(self) -> str:
-        """The figures, one a line: requests by class and kind, refusals by cause, attempts, what is open, servers listed and avoided."""
+        """The figures, one a line: requests by class and kind, refusals by cause, attempts, what is open, servers by health."""
         rows = [
             f"{PREFIX}.responses.{lane}.{kind}={count}"
             for lane, counts in self.figures.answers.items()
@@ -48,4 +48,5 @@
             f"{PREFIX}.pool_size={len(self.node.servers)}",
             f"{PREFIX}.pool_ejected={self.node.avoided()}",
         ]
+        rows += [f"{PREFIX}.pool.{state}={count}" for state, count in self.node.health().items()]
         return "\n".join(rows) + "\n"
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -60,6 +60,10 @@
         """How many of the listed cache servers get nothing now because of how they did."""
         return self._balancer.fleet.avoided(now_ms())
 
+    def health(self) -> dict[str, int]:
+        """How many cache servers are in each state of health (forkweir/health.py has the table)."""
+        return {str(state): count for state, count in self._balancer.fleet.states(now_ms()).items()}
+
     # -- events --------------------------------------------------------------------------
 
     def knows(self, lane: str) -> bool:
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -18,7 +18,7 @@
 from forkweir.allowance import Allowances
 from forkweir.asking import Asking
 from forkweir.fetches import PASS, Fetches
-from forkweir.fleet import CALM, Fleet, Member
+from forkweir.fleet import Fleet, Member
 from forkweir.gate import (
     ORIGIN_DOWN,
     ORIGIN_SLOW,
@@ -254,7 +254,7 @@
         tried = member.trial == request.id
         trial = tried and not member.strikes  # of a server that is in doubt; the others were struck
         if not trial and (tried or calm and self.fleet.silent_for(member, request.sent[last], request.spec.aim_ms, now)):
-            self.fleet.strike(member, now)
+            member.strike(now)
         unfit = not self.repeats.enough or self.usual > HEDGE_MOST or not calm
         if (unfit and not trial) or request.tries >= self.settings.max_attempts:
             return []
@@ -306,7 +306,7 @@
         full: Optional[Member] = None
         for member in near:
             if fleet.usable(member, now) and member not in tried and not fleet.is_cold(member, now):
-                if member.turned < CALM:
+                if member.calm:
                     return member
                 full = full or member
         if full is not None:
@@ -366,11 +366,7 @@
         request.tries += 1
         request.servers.append(member)
         request.sent.append(now)
-        if member.strikes or member.record.row:
-            # One at a time goes to a server that was put out, until it answers (guards against all its keys falling on one
-            # that is still dead each time its time is up).
-            member.trial = request.id
-            member.out_until = max(member.out_until, now + request.spec.aim_ms)
+        member.sent(request.id, request.spec.aim_ms, now)
         if member.account is not None and self.fleet.is_cold(member, now):
             self.allowances.pay(member.account, request.cost, request.spec.worth, now)
         self.fleet.zones.sent(member.info.zone, request.spec.aim_ms, now)
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -1,4 +1,4 @@
-"""The fleet: membership, homes of ranges, warm-up, and each server's health."""
+"""The fleet: membership, homes of ranges, warm-up, and strain; health is a module of its own (`health`)."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from typing import Optional
 
 from forkweir.allowance import Account
-from forkweir.doubt import Doubts, Record
+from forkweir.health import STATES, Health, HealthTable, State
 from forkweir.line import digest
 from forkweir.seen import Seen
 from forkweir.settings import Server, Settings
@@ -23,70 +23,35 @@
 ROOM = 1.12  # a server may be home to this times its exact share of ranges
 NEIGHBOURS = 8  # servers known ahead for a range, home included
 HOLD_MS = 30_000.0  # a server that vanished undrained keeps its ranges this long
-EJECT_MS = 1_000.0  # first ejection; doubles up to the longest
-EJECT_MAX_MS = 8_000.0
 WASH = 0.05  # of its good answers a server loses by each further strain in a row, for each unit of strain
 EASE = 0.6  # how much one good answer lightens the strain of bad ones
-FAULTS_ROW = {"unreachable": 2, "broken": 3, "spoilt": 4}  # so many faults in a row, with no answer between: the server is out
-TURNED_STEP = 0.1  # weight of one outcome in the part of attempts that a server turns away
-CALM = 0.15  # a server that turns away less than this lately has room
-SILENT_ROW = 4  # so many requests out for that long in a row, with no answer between, over a whole aim: the server is silent
-SILENT_MOST = 0.25  # of the servers that may be put out for silence at once
 WARM_MS = 1_000.0  # between two counts of the warm servers
 STRAIN_MS = 5_000.0  # strain fades by e in this time (docs/cold-and-full.md has what longer costs)
 
 
-class Member:
+class Member(Health):
     """A server as this node sees it."""
 
-    __slots__ = (
-        "info",
-        "present",
-        "gone_ms",
-        "warm_ms",
-        "told_ms",
-        "known_ms",
-        "strikes",
-        "faults",
-        "turned",
-        "waited",
-        "waited_ms",
-        "heard_ms",
-        "trial",
-        "out_until",
-        "out_since",
-        "pace",
-        "strain",
-        "strain_ms",
-        "slow_row",
-        "good",
-        "account",
-        "record",
-    )
+    __slots__ = ("info", "gone_ms", "warm_ms", "told_ms", "known_ms", "pace", "strain", "strain_ms", "slow_row", "good", "account")
 
     def __init__(self, info: Server) -> None:
+        super().__init__(info.state == "in", info.state == "draining")
         self.info = info
-        self.present = info.state == "in"
         self.gone_ms = 0.0
         self.warm_ms = info.started_ms
         self.told_ms = info.started_ms  # as the list last had it
         self.known_ms = 0.0  # when the node heard of its start
-        self.strikes = 0
-        self.faults = 0  # in a row
-        self.turned = 0.0  # part of late attempts that it turned away
-        self.waited = 0  # requests out for long, in a row,
-        self.waited_ms = 0.0  # and when the first of them was sent
-        self.heard_ms = 0.0  # when it last answered
-        self.trial = -1  # the one request that a server that was put out gets at a time
-        self.out_until = 0.0
-        self.out_since = 0.0
         self.pace = Pace()
         self.strain = 0.0
         self.strain_ms = 0.0
         self.slow_row = 0
         self.good = 0.0
         self.account: Optional[Account] = None  # what it may get while it is cold
-        self.record = Record()  # of how it did
+
+    def listed(self, info: Server) -> None:
+        """The list has this of it from now on."""
+        self.info = info
+        self.present, self.draining = info.state == "in", info.state == "draining"
 
 
 class Fleet:
@@ -112,12 +77,12 @@
         "weight",
         "warm_weight",
         "warm_due",
-        "doubts",
+        "health",
     )
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
-        self.doubts = Doubts(seed)
+        self.health = HealthTable(seed)
         self.members: dict[str, Member] = {}
         self.ranges = SMALLEST_RANGES
         self.ring: list[Member] = []
@@ -156,16 +121,11 @@
                 continue
             member.told_ms = told
             if info.started_ms != member.info.started_ms:
-                # The same server started again: whatever was held against it is over.
-                member.strikes = 0
-                member.waited, member.trial = 0, -1
-                member.record.clear()
-                member.out_until = 0.0
+                member.restarted()
                 member.warm_ms, member.known_ms = info.started_ms, now
                 member.account = None
-            was, drained = member.present, member.info.state == "draining"
-            member.info = info
-            member.present = info.state == "in"
+            was, drained = member.present, member.draining
+            member.listed(info)
             if info.state == "gone" and (was or drained):
                 member.gone_ms = now - HOLD_MS if drained else now
         if full:
@@ -173,11 +133,11 @@
                 if name not in named and member.present:
                     member.present = False
                     member.gone_ms = now
-                elif name not in named and member.info.state == "draining":
+                elif name not in named and member.draining:
                     # Gone, and not draining for good (guards against a member kept for each server that ever drained).
-                    member.info = replace(member.info, state="gone")
+                    member.listed(replace(member.info, state="gone"))
                     member.gone_ms = now - HOLD_MS
-        for name in [n for n, m in self.members.items() if not m.present and m.info.state != "draining" and now - m.gone_ms >= HOLD_MS]:
+        for name in [n for n, m in self.members.items() if not m.present and not m.draining and now - m.gone_ms >= HOLD_MS]:
             del self.members[name]
         self._place()
 
@@ -190,7 +150,7 @@
             if self.settings.aside and member.info.kind == self.settings.origin_kind:
                 if member.present:
                     self.origin = member
-            elif member.info.state != "draining":
+            elif not member.draining:
                 placed.append(member)
         self.live = sum(1 for m in placed if m.present)
         self.warm_due = 0.0
@@ -296,7 +256,14 @@
 
     def usable(self, member: Member, now: float) -> bool:
         """Whether an attempt may go to a server at all."""
-        return member.present and member.out_until <= now and not self.zones.cut(member.info.zone, now)
+        return member.free(now) and not self.zones.cut(member.info.zone, now)
+
+    def states(self, now: float) -> dict[State, int]:
+        """How many servers are in each state of health."""
+        counts = dict.fromkeys(STATES, 0)
+        for member in self.members.values():
+            counts[member.state(now, self.is_cold(member, now))] += 1
+        return counts
 
     def avoided(self, now: float) -> int:
         """How many servers of the list get nothing now because of how they did."""
@@ -315,14 +282,6 @@
             member.good *= 1.0 - WASH * more
         member.strain_ms = now
 
-    def strike(self, member: Member, now: float) -> None:
-        """Note an attempt that found no working server; eject after repeated ones."""
-        if not member.strikes:
-            member.out_since = now
-        member.strikes += 1
-        member.trial = -1
-        member.out_until = now + min(EJECT_MAX_MS, EJECT_MS * 2.0 ** min(8, member.strikes - 1))
-
     def calm(self, r: int, tried: list[Member], now: float) -> Optional[Member]:
         """The server nearest to a range that has room, if there is one.
 
@@ -333,80 +292,26 @@
         if not (self.ready(now) and self.placed):
             return None
         for member in (*self.neighbours(r), *self.from_turn(r)):
-            if member.turned < CALM and self.usable(member, now) and member not in tried and not self.is_cold(member, now):
+            if member.calm and self.usable(member, now) and member not in tried and not self.is_cold(member, now):
                 return member
         return None
 
     def judge(self, member: Member, seen: Seen, now: float) -> None:
         """Note what an outcome tells of whether a server is there and has room."""
-        if seen.alive:
-            self.proved(member, now)
-        elif seen.fault:
-            self.fault(member, seen.status, now)
-        elif seen.hung and seen.trial and member.strikes:
-            self.strike(member, now)
-        if seen.heard:
-            member.waited, member.heard_ms = 0, now
+        if self.health.judge(member, seen, now):
+            # Back from the dead without word from the list: it may be cold (guards against
+            # a full range falling on a server whose restart the list has yet to tell).
+            member.warm_ms = member.known_ms = now
+            member.account = None
         self.zones.heard(member.info.zone, seen, now)
-        if seen.away is not None:
-            member.turned += TURNED_STEP * (seen.away - member.turned)
-
-    def fault(self, member: Member, status: str, now: float) -> None:
-        """Note a connection that failed, or an answer that could not be read.
 
-        A few of them among good answers tell of the network or of the connection: the server is alive, and its cache is worth
-        keeping (guards against ejections, and a warm-up that never was, for a fault of one attempt in many). A server that is
-        dead, or speaks nothing but noise, is soon struck: nothing good comes between. Harm: it costs a few more attempts,
-        which are made again elsewhere.
-        """
-        member.faults += 1
-        if member.faults >= FAULTS_ROW[status]:
-            self.strike(member, now)
+    def doubted(self, member: Member, seen: Seen, now: float) -> float:
+        """Note how an attempt went; how likely its server is bad."""
+        return self.health.doubted(member, seen, self.placed, self.live, now)
 
     def silent_for(self, member: Member, sent_ms: float, aim_ms: float, now: float) -> bool:
-        """Note a request out for long; whether the server is to be put out for saying nothing.
-
-        Guards against a server that has vanished or hangs while the list still names it: its connections stay open, so nothing
-        fails, and each attempt waits for its whole time. It should catch whatever silences a process or the way to it. Harm:
-        a pause longer than an aim costs a second of its keys; so that overload of all, or an origin that keeps every miss
-        waiting, can't empty the fleet, only a part of it may be out for this.
-        """
-        if not member.waited:
-            member.waited_ms = sent_ms
-        member.waited += 1
-        if member.strikes or member.waited < SILENT_ROW or now - member.waited_ms <= aim_ms:
-            return False
-        return sum(1 for other in self.placed if other.present and other.out_until > now) < SILENT_MOST * self.live
-
-    def doubted(self, member: Member, seen: Seen, now: float) -> float:
-        """Note how an attempt went; how likely its server is bad. One that is is kept out, but for trials, where most are not."""
-        sort, wrong = seen.sort, seen.wrong
-        if wrong is None:
-            return 0.0
-        common = wrong and self.doubts.common(sort, sum(m.present and m.record.bad for m in self.placed) / max(1, self.live))
-        bad = self.doubts.judge(member.record, sort, wrong, now, common)
-        if common:
-            for other in self.placed:
-                if other.record.row and not other.strikes:
-                    other.out_until, other.record.row = 0.0, 0
-        elif wrong and member.record.bad and (seen.trial or not member.record.row):
-            member.out_until = max(member.out_until, now + self.doubts.wait(member.record))
-        elif not wrong and not member.strikes:
-            member.out_until = 0.0
-        return bad
-
-    def proved(self, member: Member, now: float) -> None:
-        """Note an attempt that the server answered."""
-        member.faults = 0
-        member.trial = -1
-        if member.strikes:
-            # Back from the dead without word from the list: it may be cold (guards against
-            # a full range falling on a server whose restart the list has yet to tell).
-            if member.out_until and now - member.out_since > 2000.0:
-                member.warm_ms = member.known_ms = now
-                member.account = None
-            member.strikes = 0
-            member.out_until = 0.0
+        """Note a request out for long; whether the server is to be put out for saying nothing."""
+        return self.health.silent_for(member, sent_ms, aim_ms, self.placed, self.live, now)
 
 
 def _ring_points(name: str) -> tuple[int, ...]:
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -92,6 +92,7 @@
                 await made.rig.ask(f"again-{n}", path=f"/api/j{n}")
             seen = await made.figures()
             assert (seen["svc.pool_size"], seen["svc.pool_ejected"], seen["svc.active"]) == (2, 1, 0)
+            assert (seen["svc.pool.in_service"], seen["svc.pool.silent"], seen["svc.pool.draining"]) == (1, 1, 0)
 
     play(test)
 
--- a/tests/forkweir/test_doubt.py
+++ b/tests/forkweir/test_doubt.py
@@ -168,7 +168,7 @@
 def test_a_trouble_of_all_puts_nobody_out() -> None:
     balancer, _ = play({f"s{n}" for n in range(60)}, 0.9, 20_000.0)
     assert sum(member.record.row > 0 for member in balancer.fleet.placed) <= MOST_OUT * 60
-    assert balancer.fleet.doubts.usual("unknown") > 0.45
+    assert balancer.fleet.health.doubts.usual("unknown") > 0.45
 
 
 def test_half_a_fleet_that_fails_neither_shuts_the_gate_nor_passes_for_an_origin_in_trouble() -> None:
