A server back from the dead is cold for the outcome that brought it back, as before

The recorded streams do not meet the case.

Change: Fleet.judge marks the outcome as a cold server's when its server is back from the dead without word from the list.

--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -303,6 +303,7 @@
             # a full range falling on a server whose restart the list has yet to tell).
             member.warm_ms = member.known_ms = now
             member.account = None
+            seen.cold = True
         self.zones.heard(member.info.zone, seen, now)
 
     def doubted(self, member: Member, seen: Seen, now: float) -> float:
