Loop, network and processes know one another by a third file; only moves

Need: loop, net and process of the virtual machine imported one another in a circle (under TYPE_CHECKING).

Change: testbed/parts.py has what they need of one another as protocols (Owner, Endpoint); loop, net and process import in that order alone.

--- a/testbed/loop.py
+++ b/testbed/loop.py
@@ -15,13 +15,10 @@
 from contextvars import Context, copy_context
 from heapq import heapify, heappop, heappush
 from math import ceil
-from typing import TYPE_CHECKING, Any, Optional, TypeVarTuple
+from typing import Any, Optional, TypeVarTuple
 
 from corkshift import seam
-
-if TYPE_CHECKING:
-    from testbed.net import VirtualSocket
-    from testbed.process import Process
+from testbed.parts import Endpoint, Owner
 
 LIVELOCK = 20_000  # turns in one instant: something spins without making progress
 CANCELLED_MOST = 512  # cancelled timers that may wait in the heap before they are swept out
@@ -44,14 +41,14 @@
         super().__init__()
         self.now_us = 0
         self.steps = 0  # callbacks run
-        self.after_step: Optional[Callable[[Process], None]] = None  # called after each callback of a process
+        self.after_step: Optional[Callable[[Owner], None]] = None  # called after each callback of a process
         self._order = random.Random(f"order/{seed}")
         self._due: list[tuple[int, float, int, asyncio.TimerHandle]] = []
         self._number = 0
         self._cancelled = 0
-        self._readers: dict[VirtualSocket, asyncio.Handle] = {}
-        self._writers: dict[VirtualSocket, asyncio.Handle] = {}
-        self._hot: dict[VirtualSocket, None] = {}  # sockets that may be ready
+        self._readers: dict[Endpoint, asyncio.Handle] = {}
+        self._writers: dict[Endpoint, asyncio.Handle] = {}
+        self._hot: dict[Endpoint, None] = {}  # sockets that may be ready
         self._turns = 0  # in this instant
         self.set_task_factory(_make_task)
 
@@ -104,11 +101,11 @@
     def remove_writer(self, fd: Any) -> bool:
         return self._unwatch(self._writers, fd)
 
-    def poke(self, sock: VirtualSocket) -> None:
+    def poke(self, sock: Endpoint) -> None:
         """A socket's state has changed: it may be ready now."""
         self._hot[sock] = None
 
-    def forget(self, sock: VirtualSocket) -> None:
+    def forget(self, sock: Endpoint) -> None:
         """A socket is closed: the kernel reports it no more."""
         self._unwatch(self._readers, sock)
         self._unwatch(self._writers, sock)
@@ -116,8 +113,8 @@
 
     def _watch(
         self,
-        which: dict[VirtualSocket, asyncio.Handle],
-        sock: VirtualSocket,
+        which: dict[Endpoint, asyncio.Handle],
+        sock: Endpoint,
         callback: Callable[..., object],
         args: Any,
     ) -> None:
@@ -127,7 +124,7 @@
         which[sock] = asyncio.Handle(callback, args, self)
         self.poke(sock)
 
-    def _unwatch(self, which: dict[VirtualSocket, asyncio.Handle], sock: VirtualSocket) -> bool:
+    def _unwatch(self, which: dict[Endpoint, asyncio.Handle], sock: Endpoint) -> bool:
         handle = which.pop(sock, None)
         if handle is None:
             return False
@@ -237,7 +234,7 @@
     return task
 
 
-def owner_of(context: Context) -> Optional[Process]:
+def owner_of(context: Context) -> Optional[Owner]:
     """The virtual process in whose context something runs; None for the world itself."""
     side = context.get(seam.SIDE)
     return side if side is not None and getattr(side, "virtual", False) else None  # type: ignore[return-value]
--- a/testbed/net.py
+++ b/testbed/net.py
@@ -20,13 +20,11 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Optional
+from typing import Any, Optional
 
 from corkshift.seam import Address
-
-if TYPE_CHECKING:
-    from testbed.loop import VirtualLoop
-    from testbed.process import Process
+from testbed.loop import VirtualLoop
+from testbed.parts import Owner
 
 BUFFER = 131_072  # bytes of a socket's buffer in each direction where nothing is asked (a kernel doubles what is asked)
 SEGMENT = 16_384  # bytes carried at once
@@ -161,7 +159,7 @@
         "datagram_size",
     )
 
-    def __init__(self, net: Network, process: Optional[Process], host: str, kind: str) -> None:
+    def __init__(self, net: Network, process: Optional[Owner], host: str, kind: str) -> None:
         self.net = net
         self.process = process
         self.host = host
--- a/testbed/rules.py
+++ b/testbed/rules.py
@@ -21,7 +21,7 @@
 from corkshift.service import Service
 from testbed.clients import Ask, Observer
 from testbed.net import VirtualSocket
-from testbed.process import Process
+from testbed.parts import Owner
 from testbed.serving import Message
 from testbed.standins import CacheBox, Witness
 
@@ -68,7 +68,7 @@
     left_us: int = -1
     sends: list[Sent] = field(default_factory=list)  # first byte left a node
     begun: list[Sent] = field(default_factory=list)  # last byte reached a box
-    sender: Optional[Process] = None  # of the latest of sends
+    sender: Optional[Owner] = None  # of the latest of sends
     bodies: list[bytes] = field(default_factory=list)
 
 
@@ -78,21 +78,21 @@
     def __init__(self, now_us: Callable[[], int], note: Callable[[str], None], later: Callable[..., object]) -> None:
         self.failures: list[Failure] = []
         self.lives: dict[str, Life] = {}
-        self.nodes: dict[str, Process] = {}  # by host: the process that runs there now
-        self.services: dict[Process, Service] = {}
+        self.nodes: dict[str, Owner] = {}  # by host: the process that runs there now
+        self.services: dict[Owner, Service] = {}
         self.boxes: dict[str, str] = {}  # host of a box to its name, for the trace
         self.excused: Callable[[Ask], bool] = lambda ask: False  # the network or a kill is to blame
         self.steps: Callable[[], int] = lambda: 0
         self._now = now_us
         self._note = note
         self._later = later  # calls back after so many us
-        self._left_out: dict[tuple[Process, str], int] = {}  # (node, address): since when it may get nothing new
-        self._listed: dict[Process, set[str]] = {}  # of a node: the addresses that it was told are in service
-        self._started: set[tuple[Process, str]] = set()  # (node, host of a server): the node was told that it started lately
+        self._left_out: dict[tuple[Owner, str], int] = {}  # (node, address): since when it may get nothing new
+        self._listed: dict[Owner, set[str]] = {}  # of a node: the addresses that it was told are in service
+        self._started: set[tuple[Owner, str]] = set()  # (node, host of a server): the node was told that it started lately
         self._heads: dict[VirtualSocket, bytearray] = {}
         self._work: dict[str, deque[tuple[int, float, bool]]] = {}
-        self._dialed: dict[Process, int] = {}
-        self._accepted: dict[Process, int] = {}
+        self._dialed: dict[Owner, int] = {}
+        self._accepted: dict[Owner, int] = {}
         self._seen: set[tuple[str, str]] = set()
 
     def broken(self, rule: str, what: str) -> None:
@@ -200,7 +200,7 @@
     def fetched(self, box: str, key: str) -> None:
         self._note(f"{box} fetches {key}")
 
-    def _cold(self, box: CacheBox, work_ms: float, now: int, sender: Optional[Process]) -> None:
+    def _cold(self, box: CacheBox, work_ms: float, now: int, sender: Optional[Owner]) -> None:
         """Hold what a cold box gets against its budget, where those that knew of its start sent the most of it.
 
         A node that was not told (discovery was silent, or lies) can't know, nor can one whose wall clock is further ahead than a
@@ -223,7 +223,7 @@
 
     # -- discovery -----------------------------------------------------------------------
 
-    def starts(self, process: Process, known: list[dict[str, object]]) -> None:
+    def starts(self, process: Owner, known: list[dict[str, object]]) -> None:
         """A node starts with the list as it last was."""
         self.nodes[process.host] = process
         self._listed[process] = {str(entry["hostPort"]) for entry in known if entry["lifecycle"] == "in_service"}
@@ -313,7 +313,7 @@
         elif what in ("close", "abort") and not sock.dialed and sock.peer is not None:
             self._accepted[process] -= 1
 
-    def after_step(self, process: Process) -> None:
+    def after_step(self, process: Owner) -> None:
         """Hold a node's books against its sockets."""
         service = self.services.get(process)
         if service is None or not process.alive:
@@ -324,13 +324,13 @@
         if accepted > len(service.frontend._connections):
             self.broken("books", f"{process.name} has {accepted} client connections and counts fewer")
 
-    def timers_at_rest(self, timers: dict[Process, int]) -> None:
+    def timers_at_rest(self, timers: dict[Owner, int]) -> None:
         """Shortly after the last answer no timer of a request is left. timers: how many each process has."""
         for process in self.services:
             if process.state == "running" and timers.get(process, 0) > IDLE_TIMERS:
                 self.broken("books", f"{process.name} at rest holds {timers[process]} timers")
 
-    def at_rest(self, timers: dict[Process, int]) -> None:
+    def at_rest(self, timers: dict[Owner, int]) -> None:
         """Nobody asks and nothing is owed: all books are empty."""
         self.timers_at_rest(timers)
         for process, service in self.services.items():
--- a/testbed/simulation.py
+++ b/testbed/simulation.py
@@ -20,6 +20,7 @@
 from testbed.loop import Deadlock, Livelock, VirtualLoop, owner_of
 from testbed.net import Network, Trip, VirtualSocket
 from testbed.oracle import Demand, Supply
+from testbed.parts import Owner
 from testbed.process import EPOCH_MS, Process
 from testbed.rules import Failure, Rules
 from testbed.script import Fault, Script, draw
@@ -159,7 +160,7 @@
         self.demands.append(Demand(at_ms, kind.name, work, kind.aim_ms, kind.worth, kind.method == "PUT"))
         return len(self.demands) - 1
 
-    def _after_step(self, process: Process) -> None:
+    def _after_step(self, process: Owner) -> None:
         self.rules.after_step(process)
         if self.loop.now_us >= self._sample_us:
             self._sample_us = self.loop.now_us + SAMPLE_US
@@ -306,8 +307,8 @@
         await asyncio.sleep(0.5)
         self._read_books(self.rules.at_rest)
 
-    def _read_books(self, read: Callable[[dict[Process, int]], None]) -> None:
-        timers: dict[Process, int] = {}
+    def _read_books(self, read: Callable[[dict[Owner, int]], None]) -> None:
+        timers: dict[Owner, int] = {}
         for handle in self.loop.timers():
             owner = owner_of(handle._context)  # type: ignore[attr-defined]
             if owner is not None:
