Testbed in rooms: machine, systems, nights; only moves

Need: fourteen files on one floor; later tools (an emulator, load, experiments) need places of their own.

Change: testbed/machine (loop, net, process, what they share), testbed/systems (stand-ins, clients, serving), testbed/nights (scripts, world, rules, oracle, defects, exploration). Imports follow.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,6 +1,6 @@
 """What the nodes of a fleet send, by kind and for each request of a client: `python -m benchmarks.fleet [--seeds 1-3] [--jobs 8]`.
 
-Each trouble of testbed/fleets.py is played at 5, 20 and 40 nodes before 60 boxes, on the virtual clock, under the same load. A kind
+Each trouble of testbed/nights/fleets.py is played at 5, 20 and 40 nodes before 60 boxes, on the virtual clock, under the same load. A kind
 that grows with the number of nodes shows as a share that does.
 """
 
@@ -10,10 +10,10 @@
 import statistics
 from concurrent.futures import ProcessPoolExecutor
 
-from testbed.explore import seeds_of
-from testbed.fleets import ALL, BOXES, night
-from testbed.simulation import run
-from testbed.traffic import Traffic, counted
+from testbed.nights.explore import seeds_of
+from testbed.nights.fleets import ALL, BOXES, night
+from testbed.nights.simulation import run
+from testbed.nights.traffic import Traffic, counted
 
 SIZES = (5, 20, 40)
 KINDS = {
--- a/benchmarks/ordinary_path.py
+++ b/benchmarks/ordinary_path.py
@@ -19,8 +19,8 @@
 from typing import Any
 
 from benchmarks.revision import ROOT, packages_of
-from testbed.scripted import ScriptedBox, whole
-from testbed.standins import Registry, Witness
+from testbed.systems.scripted import ScriptedBox, whole
+from testbed.systems.standins import Registry, Witness
 
 HOST = "127.0.0.1"
 BOXES = 12
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -2,7 +2,7 @@
 
 Plays each hard case of cold fleets and full load on the virtual clock, at LOAD of what the boxes can do, and measures how long it
 takes from the fault until the worth for work served in time is back to BACK of its calm level and stays so for STAY_MS; beside it
-the same of an all-knowing scheduler (testbed/oracle.py) on the same night. Exits with 1 where a rule is broken, or where the node
+the same of an all-knowing scheduler (testbed/nights/oracle.py) on the same night. Exits with 1 where a rule is broken, or where the node
 takes more than WITHIN times the oracle's time (which counts as LEAST_MS at the least: the window in which it is measured).
 """
 
@@ -18,9 +18,9 @@
 from typing import Optional
 
 from benchmarks.overload import WORK_MS
-from testbed.oracle import SLICE_MS, worth_at_most
-from testbed.script import Fault, Kind, Script, World
-from testbed.simulation import run
+from testbed.nights.oracle import SLICE_MS, worth_at_most
+from testbed.nights.script import Fault, Kind, Script, World
+from testbed.nights.simulation import run
 
 LOAD = 0.8
 BACK, WITHIN = 0.95, 1.3
--- a/corkshift/cli/demo.py
+++ b/corkshift/cli/demo.py
@@ -14,8 +14,8 @@
 from corkshift.config import config_of
 from corkshift.seam import process
 from corkshift.service import Service
-from testbed.clients import Clients, Observer, settings
-from testbed.standins import BoxSpec, CacheBox, OrderBook, Registry, Witness
+from testbed.systems.clients import Clients, Observer, settings
+from testbed.systems.standins import BoxSpec, CacheBox, OrderBook, Registry, Witness
 
 HOST = "127.0.0.1"
 
--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -8,10 +8,10 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Optional
 
-from testbed.script import BadScript, Script, parse_script, written
+from testbed.nights.script import BadScript, Script, parse_script, written
 
 if TYPE_CHECKING:
-    from testbed.simulation import Result
+    from testbed.nights.simulation import Result
 
 
 def add_sim(commands: Any) -> None:
@@ -32,7 +32,7 @@
     shrink.add_argument("--to", metavar="FILE", help="write it here instead of to standard output")
     for parser in (run, explore, shrink):
         parser.add_argument(
-            "--defect", default="", metavar="NAME", help="put a deliberate defect into the node (testbed/defects.py)"
+            "--defect", default="", metavar="NAME", help="put a deliberate defect into the node (testbed/nights/defects.py)"
         )
     show = actions.add_parser("show", help="a readable timeline out of a trace")
     show.add_argument("trace", metavar="TRACE")
@@ -45,7 +45,7 @@
     """Carry out one of the actions; the exit code (2 where the arguments are of no use)."""
     try:
         if getattr(args, "defect", ""):
-            from testbed.defects import DEFECTS
+            from testbed.nights.defects import DEFECTS
 
             if args.defect not in DEFECTS:
                 raise _Unusable(f"no defect of this name; there are {', '.join(DEFECTS)}")
@@ -67,8 +67,8 @@
 
 
 def _run(args: argparse.Namespace) -> int:
-    from testbed.defects import patched
-    from testbed.simulation import run
+    from testbed.nights.defects import patched
+    from testbed.nights.simulation import run
 
     with patched(args.defect):
         result = run(args.seed, _script(args.script), keep=args.trace is not None)
@@ -94,8 +94,8 @@
 
 
 def _against_the_bound(result: Result) -> str:
-    """What was served in time beside the most that could have been (testbed/oracle.py)."""
-    from testbed.oracle import served_at_most, worth_at_most
+    """What was served in time beside the most that could have been (testbed/nights/oracle.py)."""
+    from testbed.nights.oracle import served_at_most, worth_at_most
 
     figures = result.figures
     first = f"first asked {figures.first_tries}, served in time at last {figures.good_tries}"
@@ -111,7 +111,7 @@
 
 
 def _explore(args: argparse.Namespace) -> int:
-    from testbed.explore import command_of, explore, seeds_of
+    from testbed.nights.explore import command_of, explore, seeds_of
 
     seeds = seeds_of(args.seeds)
     if not seeds or args.jobs < 1:
@@ -139,8 +139,8 @@
 
 
 def _shrink(args: argparse.Namespace) -> int:
-    from testbed.explore import kind_of, play, shrink
-    from testbed.script import draw
+    from testbed.nights.explore import kind_of, play, shrink
+    from testbed.nights.script import draw
 
     script = _script(args.script) or draw(args.seed)
     failures = play(args.seed, args.defect, script).failures
@@ -159,7 +159,7 @@
 
 
 def _show(args: argparse.Namespace) -> int:
-    from testbed.show import timeline
+    from testbed.nights.show import timeline
 
     found = False
     with open(args.trace) as lines:
--- /dev/null
+++ b/testbed/machine/__init__.py
@@ -0,0 +1,1 @@
+"""The virtual machine: a loop on virtual time, a network, and processes on it."""
--- a/testbed/loop.py
+++ b/testbed/machine/loop.py
@@ -18,7 +18,7 @@
 from typing import Any, Optional, TypeVarTuple
 
 from corkshift import seam
-from testbed.parts import Endpoint, Owner
+from testbed.machine.parts import Endpoint, Owner
 
 LIVELOCK = 20_000  # turns in one instant: something spins without making progress
 CANCELLED_MOST = 512  # cancelled timers that may wait in the heap before they are swept out
--- a/testbed/net.py
+++ b/testbed/machine/net.py
@@ -23,8 +23,8 @@
 from typing import Any, Optional
 
 from corkshift.seam import Address
-from testbed.loop import VirtualLoop
-from testbed.parts import Owner
+from testbed.machine.loop import VirtualLoop
+from testbed.machine.parts import Owner
 
 BUFFER = 131_072  # bytes of a socket's buffer in each direction where nothing is asked (a kernel doubles what is asked)
 SEGMENT = 16_384  # bytes carried at once
--- a/testbed/process.py
+++ b/testbed/machine/process.py
@@ -11,7 +11,7 @@
 from typing import Any, Optional
 
 from corkshift import seam
-from testbed.net import Network, VirtualSocket, failure
+from testbed.machine.net import Network, VirtualSocket, failure
 
 EPOCH_MS = 1_764_547_200_000.0  # Unix time at the start of each world
 
--- a/testbed/explore.py
+++ b/testbed/nights/explore.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from testbed.defects import patched
-from testbed.script import Fault, Script, World
-from testbed.simulation import run
+from testbed.nights.defects import patched
+from testbed.nights.script import Fault, Script, World
+from testbed.nights.simulation import run
 
 TRIES_MOST = 400  # runs of one shrink
 
--- a/testbed/fleets.py
+++ b/testbed/nights/fleets.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Callable
 
-from testbed.script import Fault, Kind, Script, World
+from testbed.nights.script import Fault, Kind, Script, World
 
 NODES, BOXES = 40, 60
 BAD: tuple[tuple[Kind, float], ...] = (("box_slow", 8.0), ("box_errors", 60.0))
--- a/testbed/rules.py
+++ b/testbed/nights/rules.py
@@ -19,11 +19,11 @@
 from typing import Optional
 
 from corkshift.service import Service
-from testbed.clients import Ask, Observer
-from testbed.net import VirtualSocket
-from testbed.parts import Owner
-from testbed.serving import Message
-from testbed.standins import CacheBox, Witness
+from testbed.machine.net import VirtualSocket
+from testbed.machine.parts import Owner
+from testbed.systems.clients import Ask, Observer
+from testbed.systems.serving import Message
+from testbed.systems.standins import CacheBox, Witness
 
 GRACE_US = 250_000
 MORE_US = 50_000  # each time limit on sockets is this much longer
--- a/testbed/simulation.py
+++ b/testbed/nights/simulation.py
@@ -16,16 +16,16 @@
 from corkshift import seam
 from corkshift.config import load
 from corkshift.service import Service
-from testbed.clients import CLASSES, RUDE, SITE_CLASSES, Ask, Class, Clients, Figures, settings
-from testbed.loop import Deadlock, Livelock, VirtualLoop, owner_of
-from testbed.net import Network, Trip, VirtualSocket
-from testbed.oracle import Demand, Supply
-from testbed.parts import Owner
-from testbed.process import EPOCH_MS, Process
-from testbed.rules import Failure, Rules
-from testbed.script import Fault, Script, draw
-from testbed.serving import Connection, Server
-from testbed.standins import SPOIL_HOWS, SPOILS, SPOILT_BY, BoxSpec, CacheBox, OrderBook, Registry, Spoil, work_of
+from testbed.machine.loop import Deadlock, Livelock, VirtualLoop, owner_of
+from testbed.machine.net import Network, Trip, VirtualSocket
+from testbed.machine.parts import Owner
+from testbed.machine.process import EPOCH_MS, Process
+from testbed.nights.oracle import Demand, Supply
+from testbed.nights.rules import Failure, Rules
+from testbed.nights.script import Fault, Script, draw
+from testbed.systems.clients import CLASSES, RUDE, SITE_CLASSES, Ask, Class, Clients, Figures, settings
+from testbed.systems.serving import Connection, Server
+from testbed.systems.standins import SPOIL_HOWS, SPOILS, SPOILT_BY, BoxSpec, CacheBox, OrderBook, Registry, Spoil, work_of
 
 SOON_S = 0.3  # after the last answer, before timers are counted (those of deadlines have not come due by then),
 QUIET_S = 2.7  # and before all books are read
@@ -49,7 +49,7 @@
     real_s: float
     figures: Figures
     steps: int
-    demands: list[Demand]  # with `supply` what the oracle (testbed/oracle.py) wants
+    demands: list[Demand]  # with `supply` what the oracle (testbed/nights/oracle.py) wants
     supply: Supply
     good: set[int]  # which demands were served in time
     lines: list[str] = field(default_factory=list)
--- a/testbed/traffic.py
+++ b/testbed/nights/traffic.py
@@ -34,7 +34,7 @@
 
 
 def counted(lines: Iterable[str]) -> Traffic:
-    """Go through the lines of a trace (testbed/simulation.py) once."""
+    """Go through the lines of a trace (testbed/nights/simulation.py) once."""
     t = Traffic()
     open_at: set[tuple[str, str]] = set()  # node's end, box's end
     out: Counter[str] = Counter()  # attempts that boxes have not answered yet, by request
--- a/testbed/clients.py
+++ b/testbed/systems/clients.py
@@ -18,7 +18,7 @@
 import h11
 
 from corkshift.seam import Address, now_ms
-from testbed.serving import Connection, Ended, Message, dial
+from testbed.systems.serving import Connection, Ended, Message, dial
 
 SLACK_MS = 120.0  # past its deadline an answer is awaited for this long before it is missing
 RUDE_S = 3.2  # a bad client is owed an error or a close within 3 s
--- a/testbed/scripted.py
+++ b/testbed/systems/scripted.py
@@ -10,7 +10,7 @@
 from typing import Optional
 
 from corkshift.seam import Address
-from testbed.serving import Connection, Message, Server, while_wanted
+from testbed.systems.serving import Connection, Message, Server, while_wanted
 
 Answer = Optional[bytes]
 Script = Callable[[bytes], Answer | Awaitable[Answer]]
--- a/testbed/standins.py
+++ b/testbed/systems/standins.py
@@ -15,7 +15,7 @@
 
 from corkshift.seam import Address, now_ms
 from corkshift.stream import Stream
-from testbed.serving import Connection, Ended, Message, Server, dial, while_wanted
+from testbed.systems.serving import Connection, Ended, Message, Server, dial, while_wanted
 
 TURNED_AWAY = {"X-Turned-Away": "1"}
 SPOILS = ("noise", "head", "short", "long", "twice", "behind", "notices")
@@ -23,7 +23,7 @@
 
 
 class Witness:
-    """What the stand-ins report; the rules (testbed/rules.py) are one."""
+    """What the stand-ins report; the rules (testbed/nights/rules.py) are one."""
 
     def received(self, box: CacheBox, txn: str, method: str, work_ms: float) -> None:
         """A request's last byte has come to a box, which begins it."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -16,10 +16,10 @@
 from corkshift.stream import KERNEL_BUFFER
 from corkshift.upstream import Pool
 from forkweir.adapter import settings_of
-from testbed import standins
-from testbed.scripted import ScriptedBox as CacheBox
-from testbed.scripted import good, path_of, whole
-from testbed.serving import Connection, Message
+from testbed.systems import standins
+from testbed.systems.scripted import ScriptedBox as CacheBox
+from testbed.systems.scripted import good, path_of, whole
+from testbed.systems.serving import Connection, Message
 
 __all__ = ["CacheBox", "Registry", "Rig", "entry", "good", "path_of", "play", "request", "rig", "send_to", "status", "until", "whole"]
 
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -10,7 +10,7 @@
 
 from corkshift.budget import BULK, LONGEST
 from corkshift.relay import Broken, Relay
-from testbed.serving import Connection, Message
+from testbed.systems.serving import Connection, Message
 
 BODY = random.Random(1).randbytes(1 << 20)
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from corkshift.listing import MAX_LINE, BadList, Claim, Lines, claims_of, parse
-from testbed.standins import SPOILT_BY, Registry
+from testbed.systems.standins import SPOILT_BY, Registry
 
 
 def entry(n: int, lifecycle: str = "terminating") -> dict[str, object]:
--- a/tests/testbed/test_fleet.py
+++ b/tests/testbed/test_fleet.py
@@ -7,9 +7,9 @@
 import pytest
 
 from forkweir.savings import BANK, ERRORS, REPEATS
-from testbed.fleets import ALL, BOXES, NODES, night
-from testbed.simulation import Result, run
-from testbed.traffic import Traffic, counted
+from testbed.nights.fleets import ALL, BOXES, NODES, night
+from testbed.nights.simulation import Result, run
+from testbed.nights.traffic import Traffic, counted
 
 SEED = 7  # not one that `python -m benchmarks.fleet` plays
 IN_TIME = {"calm": 0.97, "herd": 0.95, "overbooked": 0.96, "join": 0.95, "zone": 0.94, "half": 0.70, "together": 0.90}
--- a/tests/testbed/test_hard_cases.py
+++ b/tests/testbed/test_hard_cases.py
@@ -11,12 +11,12 @@
 from corkshift.figures import Figures
 from corkshift.messages import Answer, Call
 from corkshift.upstream import Attempt, CacheServer, Outcome, Pool
-from testbed.loop import Deadlock, Livelock, VirtualLoop
-from testbed.net import Network
-from testbed.process import Process
-from testbed.script import Fault, Kind, Script, World
-from testbed.serving import Connection, Message, Server
-from testbed.simulation import Result, run
+from testbed.machine.loop import Deadlock, Livelock, VirtualLoop
+from testbed.machine.net import Network
+from testbed.machine.process import Process
+from testbed.nights.script import Fault, Kind, Script, World
+from testbed.nights.simulation import Result, run
+from testbed.systems.serving import Connection, Message, Server
 
 BOX, NODE = "127.2.0.1", "127.1.0.1"
 SEEDS = range(1, 41)
--- a/tests/testbed/test_net.py
+++ b/tests/testbed/test_net.py
@@ -11,9 +11,9 @@
 from corkshift import seam
 from corkshift.seam import Socket
 from corkshift.stream import Stream
-from testbed.loop import VirtualLoop
-from testbed.net import Network
-from testbed.process import EPOCH_MS, Process
+from testbed.machine.loop import VirtualLoop
+from testbed.machine.net import Network
+from testbed.machine.process import EPOCH_MS, Process
 
 A, B = "127.1.0.1", "127.2.0.1"
 
--- a/tests/testbed/test_oracle.py
+++ b/tests/testbed/test_oracle.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from testbed.oracle import SLICE_MS, Demand, Supply, served_at_most, worth_at_most
-from testbed.script import Fault, Script, World
-from testbed.simulation import run
+from testbed.nights.oracle import SLICE_MS, Demand, Supply, served_at_most, worth_at_most
+from testbed.nights.script import Fault, Script, World
+from testbed.nights.simulation import run
 
 
 def steady(work: float, slices: int, fetches: float = 1.0) -> Supply:
--- a/tests/testbed/test_parity.py
+++ b/tests/testbed/test_parity.py
@@ -20,9 +20,9 @@
 from corkshift import seam
 from corkshift.seam import Socket
 from corkshift.stream import KERNEL_BUFFER, Stream
-from testbed.loop import VirtualLoop
-from testbed.net import Network
-from testbed.process import Process
+from testbed.machine.loop import VirtualLoop
+from testbed.machine.net import Network
+from testbed.machine.process import Process
 
 HOST = "127.0.0.1"
 Seen = list[object]
