--- a/corkshift/cli/__init__.py
+++ b/corkshift/cli/__init__.py
@@ -41,6 +41,6 @@
         from testbed.cli import sim
 
         return sim(args)
-    from corkshift.__main__ import serve
+    from corkshift.start import serve
 
     return serve(args.operator)
--- /dev/null
+++ b/corkshift/start.py
@@ -0,0 +1,40 @@
+"""One node from its environment to its end: what `python -m corkshift` does without a command, and `run` with one."""
+
+from __future__ import annotations
+
+import sys
+from typing import Optional
+
+from corkshift import seam
+from corkshift.config import BadConfig, load
+from corkshift.seam import process
+from corkshift.service import run
+
+OPERATOR = "GRADESHIFT_OPERATOR"
+
+
+def serve(operator: Optional[str] = None) -> int:
+    """Run one node as the environment tells, with an operator's file if one is named; the exit code."""
+    process.prepare()
+    environ = seam.environ()
+    try:
+        config = load(environ)
+    except BadConfig as error:
+        print(f"corkshift: {error}", file=sys.stderr)
+        return 2
+    operator = operator or environ.get(OPERATOR)
+    if operator:
+        # Only where there is a file: what is off costs nothing.
+        from corkshift.cli.operator import BadOperatorFile, read
+
+        try:
+            read(operator)
+        except BadOperatorFile as error:
+            print(f"corkshift: {error}", file=sys.stderr)
+            return 2
+    try:
+        process.play(run(config))
+    except OSError as error:
+        print(f"corkshift: cannot listen: {error.strerror or error}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -12,10 +12,10 @@
 import pytest
 from loopback import OPTIONS
 
-from corkshift.__main__ import serve
 from corkshift.cli import command
 from corkshift.cli.check import faults_of
 from corkshift.cli.operator import BadOperatorFile, parse
+from corkshift.start import serve
 
 ROOT = Path(__file__).parent.parent.parent
 
