What a word of the wire says by itself stands in one class each: an outcome costs less to judge

Change: forkweir/seen.py has a class for each word, whose attributes say what it means; an object holds only what its attempt had.

--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -30,7 +30,7 @@
 from forkweir.patience import Patience
 from forkweir.request import Request
 from forkweir.savings import ERRORS, REPEATS, Savings
-from forkweir.seen import Seen
+from forkweir.seen import WORDS, Seen
 from forkweir.settings import (
     Action,
     ClassSpec,
@@ -50,6 +50,7 @@
 HEDGE_LEARN = 0.02  # weight of one outcome in the judgement of how long that is
 TRIAL_PART = 0.35  # and what tries a server that was found to be bad after this part
 HEDGE_STEP_MS = 5.0  # between two looks at which are
+NO_FETCH = (0.0, False)  # what is expected of an attempt that was never sent
 COLD_LOOKS = 8  # servers beyond a range's neighbours that are asked for room where all are cold
 
 
@@ -445,14 +446,13 @@
         request_id: int, now: float,
     ) -> Seen:  # fmt: skip
         """An outcome with what its attempt had."""
+        word = WORDS.get(status, Seen)
         trial = member is not None and member.trial == request_id
         if request is None:
-            return Seen(status, note, elapsed_ms, None, trial=trial)
-        expected, known = request.fetches.get(attempt, (0.0, False))
-        return Seen(
-            status, note, elapsed_ms, request.spec, work_ms=request.work, write=request.write, known=known, likely_miss=expected,
-            cold=member is not None and self.fleet.is_cold(member, now), trial=trial, tries=request.tries,
-        )  # fmt: skip
+            return word(note, elapsed_ms, None, trial=trial)
+        expected, known = request.fetches.get(attempt, NO_FETCH)
+        cold = member is not None and self.fleet.is_cold(member, now)
+        return word(note, elapsed_ms, request.spec, request.work, request.write, known, expected, cold, trial, request.tries)
 
     def _load(self, request: Request, member: Member, seen: Seen, now: float) -> None:
         """What an outcome tells of what servers bear."""
--- a/forkweir/seen.py
+++ b/forkweir/seen.py
@@ -27,31 +27,39 @@
 
 LONG = 0.5  # an attempt that had this part of the aim tells of its server, by its time-out too
 QUICK = 0.25  # an error that comes within this part of its request's aim has cost next to nothing
-FAULTS = frozenset({"unreachable", "broken", "spoilt"})
-ALIVE = frozenset({"success", "overloaded", "failure", "absent"})
-HEARD = ALIVE | {"spoilt", "broken"}  # something came back
-NEVER_RAN = frozenset({"overloaded", "unreachable", "void", "absent"})
-OF_ZONE = {"unreachable": False, "timed_out": False, "success": True, "overloaded": True, "failure": True, "absent": True, "spoilt": True}
 SORTS = ("write", "cold", "known", "unknown")
 
 
 class Seen:
-    """One outcome. Times are in ms; aim_ms is 0 where nothing is known of the request any more."""
+    """One outcome. Times are in ms; aim_ms is 0 where nothing is known of the request any more.
+
+    What each word of the wire says by itself stands once, as attributes of a class for that word (`WORDS`).
+    """
 
     __slots__ = (
-        "status", "elapsed_ms", "aim_ms", "work_ms", "held", "write", "known", "likely_miss", "cold", "trial", "tries", "told_hit",
-        "told_miss", "served", "full", "error", "timed_out", "brief", "fault",
+        "elapsed_ms", "aim_ms", "work_ms", "held", "write", "known", "likely_miss", "cold", "trial", "tries", "told_hit", "told_miss",
+        "brief",
     )  # fmt: skip
 
+    status = ""
+    served = full = error = timed_out = False
+    fault = False  # the connection failed, or what came could not be read
+    alive = False  # the server itself answered, whatever it said
+    heard = False  # something came back
+    may_have_run = True  # the request may have been carried out (rule on duplicates)
+    fetch_over = False  # a fetch of it, if there was one, has ended, as far as anybody waited for it
+    may_be_brief = False  # it ended because its time did
+    away: Optional[bool] = None  # turned away (True) or served (False); None where neither
+    zone_answers: Optional[bool] = None  # whether its zone answers; None where that is not told
+
     def __init__(
-        self, status: str, note: int, elapsed_ms: float, spec: Optional[ClassSpec], *, work_ms: float = 0.0, write: bool = False,
-        known: bool = False, likely_miss: float = 0.0, cold: bool = False, trial: bool = False, tries: int = 0,
+        self, note: int, elapsed_ms: float, spec: Optional[ClassSpec], work_ms: float = 0.0, write: bool = False, known: bool = False,
+        likely_miss: float = 0.0, cold: bool = False, trial: bool = False, tries: int = 0,
     ) -> None:  # fmt: skip
         """spec: of the request, None where it is over. note: 0 nothing, 1 hit, 2 or 3 missed (as the wire says).
 
         known: whether the server served the key last; likely_miss: how likely it was that it would miss, 0 to 1.
         """
-        self.status = status
         self.elapsed_ms = elapsed_ms
         self.held = spec is not None
         self.aim_ms = aim = spec.aim_ms if spec is not None else 0.0
@@ -64,42 +72,17 @@
         self.tries = tries
         self.told_hit = note == 1
         self.told_miss = note >= 2
-        self.served = status == "success"
-        self.full = status == "overloaded"
-        self.error = status == "failure"
-        self.timed_out = status == "timed_out"
-        self.fault = status in FAULTS
         # Time that ran out before most answers come tells of nobody (guards against clients that repeat with little time left,
         # whose time-outs pass for overload and get more refused, who repeat).
-        self.brief = (self.timed_out or status == "withdrawn") and elapsed_ms < LONG * aim
+        self.brief = self.may_be_brief and elapsed_ms < LONG * aim
 
     # -- of the server -------------------------------------------------------------------
 
-    @property
-    def alive(self) -> bool:
-        """Whether the server itself answered, whatever it said."""
-        return self.status in ALIVE
-
-    @property
-    def heard(self) -> bool:
-        """Whether anything at all came back."""
-        return self.status in HEARD
-
     @property
     def hung(self) -> bool:
         """Whether it said nothing for as long as it was given."""
         return self.timed_out
 
-    @property
-    def away(self) -> Optional[bool]:
-        """Whether it turned the attempt away; None where it neither did nor served it."""
-        return self.full if self.full or self.served else None
-
-    @property
-    def zone_answers(self) -> Optional[bool]:
-        """Whether its zone answers; None where the outcome does not tell."""
-        return OF_ZONE.get(self.status)
-
     @property
     def sort(self) -> str:
         """Among which attempts it is to be held: a member of SORTS."""
@@ -112,7 +95,7 @@
             return None
         if self.served:
             return self.elapsed_ms > self.aim_ms
-        return True if self.error or ((self.timed_out or self.status == "withdrawn") and not self.brief) else None
+        return True if self.error or (self.may_be_brief and not self.brief) else None
 
     # -- of the load ---------------------------------------------------------------------
 
@@ -144,11 +127,6 @@
         """Whether it was served by way of the origin."""
         return self.told_miss or (self.write and self.served)
 
-    @property
-    def fetch_over(self) -> bool:
-        """Whether a fetch of it, if there was one, has ended, as far as anybody waited for it."""
-        return self.served or self.timed_out or self.error
-
     def missed(self, jammed: bool) -> Optional[bool]:
         """Whether a read missed; None where it is not told. jammed: servers are slow by themselves."""
         if self.write or not (self.served or (self.timed_out and not jammed)):
@@ -161,11 +139,62 @@
 
     # -- whether again -------------------------------------------------------------------
 
-    @property
-    def may_have_run(self) -> bool:
-        """Whether the request may have been carried out (rule on duplicates)."""
-        return self.status not in NEVER_RAN
-
     def quick_error(self, aim_ms: float) -> bool:
         """Whether it is an error that has cost next to nothing."""
         return self.error and self.elapsed_ms < QUICK * aim_ms
+
+
+class Served(Seen):
+    __slots__ = ()
+    status, served, alive, heard, fetch_over, away, zone_answers = "success", True, True, True, True, False, True
+
+
+class Full(Seen):
+    __slots__ = ()
+    status, full, alive, heard, may_have_run, away, zone_answers = "overloaded", True, True, True, False, True, True
+
+
+class Failed(Seen):
+    __slots__ = ()
+    status, error, alive, heard, fetch_over, zone_answers = "failure", True, True, True, True, True
+
+
+class Absent(Seen):
+    __slots__ = ()
+    status, alive, heard, may_have_run, zone_answers = "absent", True, True, False, True
+
+
+class TimedOut(Seen):
+    __slots__ = ()
+    status, timed_out, fetch_over, may_be_brief, zone_answers = "timed_out", True, True, True, False
+
+
+class Withdrawn(Seen):
+    __slots__ = ()
+    status, may_be_brief = "withdrawn", True
+
+
+class Unreachable(Seen):
+    __slots__ = ()
+    status, fault, may_have_run, zone_answers = "unreachable", True, False, False
+
+
+class Broken(Seen):
+    __slots__ = ()
+    status, fault, heard = "broken", True, True
+
+
+class Spoilt(Seen):
+    __slots__ = ()
+    status, fault, heard, zone_answers = "spoilt", True, True, True
+
+
+class Void(Seen):
+    __slots__ = ()
+    status, may_have_run = "void", False
+
+
+WORDS: dict[str, type[Seen]] = {
+    word.status: word for word in (Served, Full, Failed, Absent, TimedOut, Withdrawn, Unreachable, Broken, Spoilt, Void)
+}
+NEVER_RAN = frozenset(word for word, seen in WORDS.items() if not seen.may_have_run)
--- a/tests/forkweir/test_health.py
+++ b/tests/forkweir/test_health.py
@@ -11,7 +11,7 @@
 
 from forkweir.doubt import MOST_ALONE, TRIAL_MOST_MS, Doubts, Record
 from forkweir.health import AWAY_MS, EJECT_MAX_MS, EJECT_MS, FAULTS_ROW, SILENT_MOST, SILENT_ROW, STATES, Health, HealthTable
-from forkweir.seen import ALIVE, Seen
+from forkweir.seen import WORDS, Seen
 from forkweir.settings import ClassSpec
 
 AIM_MS = 800.0
@@ -78,11 +78,11 @@
     def outcome(self, n: int, server: Health) -> None:
         status, elapsed_ms = self.rng.choice(OUTCOMES), self.rng.choice((10.0, 100.0, 500.0, 900.0))
         trial = server.trial >= 0 and self.rng.random() < 0.7
-        seen = Seen(status, 0, elapsed_ms, READ, trial=trial)
+        seen = WORDS[status](0, elapsed_ms, READ, trial=trial)
         struck, faults, odds, out_until = server.strikes, server.faults, server.record.odds, server.out_until
         away_ms = self.now - server.out_since
         back = self.table.judge(server, seen, self.now)
-        if status in ALIVE:
+        if seen.alive:
             assert (server.strikes, server.faults, server.trial) == (0, 0, -1)
             assert not struck or server.out_until == 0.0
             assert back == bool(struck and out_until and away_ms > AWAY_MS)
@@ -135,7 +135,7 @@
     for _ in range(12):
         for server in servers:
             now += 10.0
-            table.doubted(server, Seen("failure", 0, 20.0, READ), servers, 10, now)
+            table.doubted(server, WORDS["failure"](0, 20.0, READ), servers, 10, now)
     assert sum(server.free(now) for server in servers) >= 4
 
 
@@ -144,7 +144,7 @@
     server.strike(0.0)
     server.sent(7, AIM_MS, 1_000.0)
     server.present, server.draining = False, True
-    table.judge(server, Seen("success", 1, 50.0, READ, trial=True), 1_050.0)
+    table.judge(server, WORDS["success"](1, 50.0, READ, trial=True), 1_050.0)
     assert server.state(1_050.0, False) == "draining" and not server.free(1_050.0)
     server.present, server.draining = True, False
     assert server.state(1_051.0, False) == "in_service"
--- a/tests/forkweir/test_seen.py
+++ b/tests/forkweir/test_seen.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from forkweir.seen import ALIVE, FAULTS, HEARD, LONG, NEVER_RAN, QUICK, SORTS, Seen
+from forkweir.seen import LONG, NEVER_RAN, QUICK, SORTS, WORDS, Seen
 from forkweir.settings import ClassSpec
 
 READ = ClassSpec("read", aim_ms=800.0, deadline_ms=2500.0)
@@ -16,7 +16,7 @@
 
 
 def seen(status: str, elapsed_ms: float = 500.0, note: int = 0, **more: Any) -> Seen:
-    return Seen(status, note, elapsed_ms, READ, **more)
+    return WORDS[status](note, elapsed_ms, READ, **more)
 
 
 @pytest.mark.parametrize("status", STATUSES)
@@ -69,7 +69,7 @@
     status: str, note: int, elapsed_ms: float, write: bool, known: bool, likely_miss: float, cold: bool
 ) -> None:
     one = seen(status, elapsed_ms, note, write=write, known=known, likely_miss=likely_miss, cold=cold)
-    gone = Seen(status, note, elapsed_ms, None)
+    gone = WORDS[status](note, elapsed_ms, None)
     assert one.alive <= one.heard and not (one.alive and one.fault)
     assert not (one.in_time and one.pressed) and one.sort in SORTS
     assert one.wrong is not True or not one.in_time
@@ -80,5 +80,5 @@
     assert (gone.alive, gone.heard, gone.zone_answers) == (one.alive, one.heard, one.zone_answers)
 
 
-def test_the_words_of_the_wire_are_each_in_their_sets() -> None:
-    assert ALIVE <= HEARD and not ALIVE & FAULTS and NEVER_RAN <= set(STATUSES)
+def test_every_word_of_the_wire_has_its_class() -> None:
+    assert set(WORDS) == set(STATUSES) and NEVER_RAN == {"overloaded", "unreachable", "void", "absent"}
