Time-outs of likely misses spare a server only as far as answered misses are slow

Servers there are throttled, answered misses are quick, and the time-outs were put down to an origin that had no trouble (Gate.judge, likely_miss).

Change: how likely a miss was counts times the square of how slow answered misses are, over ORIGIN_SLOW.

--- a/forkweir/gate.py
+++ b/forkweir/gate.py
@@ -104,8 +104,10 @@
             # keys turning hits into misses and keeping the origin down).
             if self.origin_slow < ORIGIN_SLOW:
                 # A time-out of what was likely to miss tells of the origin (guards against keys leaving the home that holds them
-                # for an answer that no server could have given; away from home, reads missed twice as often).
-                blame = self.blame() * ((1.0 - seen.likely_miss) ** 2 if seen.timed_out else 1.0)
+                # for an answer that no server could have given; away from home, reads missed twice as often), but only as far as
+                # misses that are answered take long (guards against servers that are throttled and spared for a quick origin).
+                slow_origin = min(1.0, self.origin_slow / ORIGIN_SLOW) ** 2
+                blame = self.blame() * ((1.0 - seen.likely_miss * slow_origin) ** 2 if seen.timed_out else 1.0)
                 if blame > 0.0:  # 0 would count as a good answer
                     self.fleet.strained(member, now, blame, seen.timed_out)
         elif hit and aim:
--- /dev/null
+++ b/tests/forkweir/test_gate.py
@@ -0,0 +1,31 @@
+"""Whom a time-out is held against: servers or their origin."""
+
+from __future__ import annotations
+
+from forkweir.fleet import Fleet
+from forkweir.gate import ORIGIN_SLOW, Gate
+from forkweir.seen import WORDS
+from forkweir.settings import ClassSpec, Server, Settings
+
+READ = ClassSpec("read", aim_ms=800.0, deadline_ms=2500.0)
+
+
+def strain(origin_slow: float, likely_miss: float) -> float:
+    """What one time-out strains its server, where answered misses take this part of their aim on average."""
+    fleet = Fleet(Settings(classes=(READ,)), 1)
+    fleet.take(0.0, [Server("s0")], True)
+    gate, member = Gate(fleet), fleet.members["s0"]
+    gate.origin_slow = origin_slow
+    gate.judge(member, WORDS["timed_out"](0, 800.0, READ, likely_miss=likely_miss), 0.0, 1_000.0)
+    return member.strain
+
+
+def test_a_time_out_of_a_likely_miss_spares_its_server_as_far_as_misses_are_slow() -> None:
+    # Guards against servers that are throttled, and spared as if their origin were in trouble.
+    hit, quick, slowish, slow = strain(0.0, 0.0), strain(0.1, 0.9), strain(0.35, 0.9), strain(0.95 * ORIGIN_SLOW, 0.9)
+    assert hit > 0.0 and quick > 0.9 * hit
+    assert hit > slowish > slow > 0.0 and slow < 0.1 * hit
+
+
+def test_an_origin_in_trouble_moves_no_keys() -> None:
+    assert strain(ORIGIN_SLOW, 0.0) == 0.0
