--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -125,7 +125,7 @@
         self._generation: Optional[int] = None
         self._watch: Optional[asyncio.Task[None]] = None
         self._current: Optional[Watch] = None
-        self._fading: dict[asyncio.Task[None], Watch] = {}  # oldest first
+        self._fading: dict[asyncio.Task[None], None] = {}  # of watches that lost something, oldest first
         self._patience_s = CALL_S
         self._hearsay = Hearsay()
         self._lapsing: Optional[asyncio.TimerHandle] = None
@@ -170,7 +170,7 @@
             task.cancel()
             return
         watch.fading = True
-        self._fading[task] = watch
+        self._fading[task] = None
         limit = asyncio.get_running_loop().call_later(FADING_S, task.cancel)
 
         def gone(done: asyncio.Task[None]) -> None:
--- a/corkshift/listing.py
+++ b/corkshift/listing.py
@@ -7,7 +7,8 @@
 may still tell whose rest is lost (PROTOCOL: a change is told once discovery has written it). An entry that is cut or overwritten
 tells one thing at the most: which server it was about (state "unreadable").
 
-Bounds: a line of MAX_LINE, of which each byte is looked at once for whole lines and at most twice for claims; MOST_CLAIMS of one line.
+Bounds: a line of MAX_LINE; each byte is looked at once for whole lines, and for claims as it comes (LONGEST_ENTRY bytes before it anew),
+once more where the line pauses, and once where it is given up; MOST_CLAIMS of one line.
 """
 
 from __future__ import annotations
--- a/testbed/nights/simulation.py
+++ b/testbed/nights/simulation.py
@@ -554,10 +554,14 @@
 
         self._trip(self._node_host(fault.target), "127.5.0.1", fault, act)
 
-    def _do_discovery_silent(self, fault: Fault) -> None:
+    def _discovery_is(self, fault: Fault, state: str) -> None:
+        """Put both places of discovery into a state, until the fault is over."""
         for registry in self.registries:
-            registry.silent = True
-            self._later(fault, setattr, registry, "silent", False)
+            setattr(registry, state, True)
+            self._later(fault, setattr, registry, state, False)
+
+    def _do_discovery_silent(self, fault: Fault) -> None:
+        self._discovery_is(fault, "silent")
 
     def _do_discovery_late(self, fault: Fault) -> None:
         for registry in self.registries:
@@ -585,14 +589,10 @@
             registry.spoils.append(Spoil(how, int(fault.value), noise))
 
     def _do_discovery_refuse(self, fault: Fault) -> None:
-        for registry in self.registries:
-            registry.refusing = True
-            self._later(fault, setattr, registry, "refusing", False)
+        self._discovery_is(fault, "refusing")
 
     def _do_discovery_mute(self, fault: Fault) -> None:
-        for registry in self.registries:
-            registry.mute = True
-            self._later(fault, setattr, registry, "mute", False)
+        self._discovery_is(fault, "mute")
 
     def _do_discovery_drop(self, fault: Fault) -> None:
         for registry in self.registries:
--- a/testbed/systems/standins.py
+++ b/testbed/systems/standins.py
@@ -397,12 +397,12 @@
                 whole = [entry for entry, (begin, end) in zip(entries, spans, strict=True) if not begin < at < end]
         if not await self._send(connection, data):
             return
-        if spoil is not None and spoil.how == "stop":
-            self._mute.add(connection)
-        elif spoil is not None and spoil.how == "cut":
-            connection.stream.abort()
         if spoil is not None:
             self._unsound.add(connection)
+            if spoil.how == "stop":
+                self._mute.add(connection)
+            elif spoil.how == "cut":
+                connection.stream.abort()
         if node:
             self._witness.told(node, whole, full and sound, sound)
 
