A watch that loses its framing in mid-line is read on, in whatever state it is

Both tell half a line, then a drain in no chunk, while the node waits out PAUSE_S; the log says RemoteProtocolError, the node hangs up, the call that goes out at once is refused, and the next comes 350 to 450 ms later.

The spoilt line "a second before" is armed then and spoils the drain's own line, so nothing was lost earlier. Wrong lines: the first try of Discovery._next caught TimeoutError alone; its last `return await watch.data()` stood in no try, so framing lost after a line was given up ended the fading watch (found by a walk over the states of a watch: "given up" broke too). Discovery._ended called a refused urgent call "failed", which waits as if nothing were owed.

Change: one loop with one handler. What is lost stays owed until a line is read whole; the second urgent call goes out 40 to 80 ms after the first failed, within the same budget.

--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -130,6 +130,7 @@
         self._hearsay = Hearsay()
         self._lapsing: Optional[asyncio.TimerHandle] = None
         self._told: dict[str, Server] = {}  # each server of the address book as a whole line last told it
+        self._owed = False  # some of what discovery told is lost, and no whole line has come since
 
     def start(self, known: dict[str, Any]) -> None:
         """Begin with the list as this node last had it."""
@@ -215,24 +216,29 @@
                 self._heed(watch.lines.claims())
 
     async def _next(self, watch: Watch) -> bytes:
-        """The next bytes. A line that stops in its middle is heeded as it is, and given up after STUCK_S."""
-        if watch.lines.unfinished and not watch.fading:
+        """The next bytes, whatever is lost before them; none at the watch's end. TimeoutError where nothing more will come of it.
+
+        A line that stops in its middle is heeded as it is, and given up after STUCK_S. Framing that is lost, in whatever state the
+        watch is, costs it its place alone: it is read on (guards against a watch that is hung up on while it tells a drain).
+        """
+        paused = False
+        while True:
+            pausing = watch.lines.unfinished and not watch.fading and not paused
             try:
-                async with asyncio.timeout(PAUSE_S):
+                async with asyncio.timeout(PAUSE_S if pausing else None):
                     return await watch.data()
             except TimeoutError:
+                if pausing:
+                    self._heed(claims_of(watch.lines.rest()))
+                    paused = True
+                    continue
+                if not watch.lines.unfinished or watch.fading:
+                    raise
+                self._lose(watch, "a line that goes no further")
+            except h11.RemoteProtocolError as error:
+                # With the framing is lost where lines end; entries can still be told by their braces.
                 self._heed(claims_of(watch.lines.rest()))
-        try:
-            return await watch.data()
-        except TimeoutError:
-            if not watch.lines.unfinished or watch.fading:
-                raise
-            self._lose(watch, "a line that goes no further")
-        except h11.RemoteProtocolError as error:
-            # The framing is lost, and with it where lines end; entries can still be told by their braces.
-            self._heed(claims_of(watch.lines.rest()))
-            self._lose(watch, f"no chunk: {error}")
-        return await watch.data()
+                self._lose(watch, f"no chunk: {error}")
 
     def _line(self, watch: Watch, line: bytes) -> None:
         try:
@@ -248,6 +254,7 @@
             self._lapsing.cancel()
             self._lapsing = None
         watch.carried = True
+        self._owed = False
         entries = self._take(generation, whole, pairs)
         self._node.on_list("full" if whole else "changes", [*self._back(free), *entries])
 
@@ -257,6 +264,7 @@
             return
         log.info("the watch failed: BadList: %s", why)
         self._fade()
+        self._owed = True
         self._node.on_list("lost", [])
 
     def _ended(self, watch: Watch) -> None:
@@ -266,7 +274,8 @@
             self._heed(claims_of(watch.lines.rest()))
         if watch is self._current:
             self._watch = self._current = None
-            self._node.on_list("lost" if cut else "failed", [])
+            self._owed = self._owed or cut
+            self._node.on_list("lost" if self._owed else "failed", [])
 
     # -- what is told --------------------------------------------------------------------
 
--- a/forkweir/asking.py
+++ b/forkweir/asking.py
@@ -4,8 +4,10 @@
 and each wait is drawn (guards against all nodes asking the small list service at once, over and over).
 
 A watch that ended in the middle of a line, or carried what can't be read, may have lost a change, and the rule on drains gives it 250 ms:
-the next call goes out at once, spread by a few ms. Only the nodes that lost something ask, and each has URGENT_MOST such calls, with one
-more every URGENT_MS, so that a service that spoils every line is not asked faster for it. Past that they wait like any other.
+the next call goes out at once, spread by a few ms. Where that call fails, what was lost is still lost: another goes out after AGAIN_MS to
+twice that (guards against the last urgent call meeting the same refusal a few ms later). Only the nodes that lost something ask, and each
+has URGENT_MOST such calls, with one more every URGENT_MS, so that a service that spoils every line is not asked faster for it. Past that
+they wait like any other.
 
 Sum over a fleet of N nodes: N * URGENT_MOST calls in the first moment, N / URGENT_MS from then on.
 """
@@ -19,12 +21,13 @@
 URGENT_MS = 4_000.0
 URGENT_MOST = 2.0
 SPREAD_MS = 5.0  # over which urgent calls are spread
+AGAIN_MS = 40.0  # after an urgent call that failed; two fit into the time in which a drain is to be heeded
 
 
 class Asking:
     """How long until the next call."""
 
-    __slots__ = ("_within_ms", "_random", "_failures", "_urgent", "_at")
+    __slots__ = ("_within_ms", "_random", "_failures", "_urgent", "_at", "_asked")
 
     def __init__(self, within_ms: float, rng: random.Random) -> None:
         self._within_ms = within_ms
@@ -32,6 +35,7 @@
         self._failures = 0
         self._urgent = URGENT_MOST
         self._at = 0.0
+        self._asked = False  # at once, and nothing was read whole since
 
     def first(self) -> float:
         """How long a node that starts waits, in ms."""
@@ -40,14 +44,21 @@
     def heard(self) -> None:
         """A line was read whole."""
         self._failures = 0
+        self._asked = False
 
     def wait(self, lost: bool, now: float) -> float:
-        """A call failed or a watch ended; lost: in the middle of a line, or with one that can't be read. How long to wait, in ms."""
+        """A call failed or a watch ended. How long to wait, in ms.
+
+        lost: in the middle of a line, or with one that can't be read, and no line was read whole since.
+        """
         self._failures = min(self._failures + 1, LONGEST)
         if lost:
             self._urgent = min(URGENT_MOST, self._urgent + max(0.0, now - self._at) / URGENT_MS)
             self._at = now
             if self._urgent >= 1.0:
                 self._urgent -= 1.0
+                if self._asked:
+                    return AGAIN_MS * (1.0 + self._random.random())
+                self._asked = True
                 return SPREAD_MS * self._random.random()
         return self._within_ms * WAIT * 2.0**self._failures * (0.3 + self._random.random())
--- a/testbed/nights/script.py
+++ b/testbed/nights/script.py
@@ -27,7 +27,10 @@
 DRAWN: tuple[Kind, ...] = Kind.__args__[:30]  # type: ignore[attr-defined]  # of every night; the others come with hard nights alone
 MISSED: tuple[Kind, ...] = ("discovery_refuse", "discovery_mute", "discovery_down", "discovery_drop", "discovery_silent")
 HARD_FROM = 20_001  # nights drawn from this seed on are hard ones,
-TOLD_FROM = 10_000_001  # and from this one on nights on which discovery spoils what it tells
+TOLD_FROM = 10_000_001  # and from this one on nights on which discovery spoils what it tells,
+PAIRED_FROM = 10_100_001  # of which these lose a line while the watch has already lost something, or stands in the middle of a line
+HALF_A_LINE, NO_LIST = 7.0, 0.0  # values of discovery_wrong
+FRAMING = 5  # of the ways to spoil a line (`standins.SPOIL_HOWS`)
 TARGETS: dict[str, str] = {
     kind: "node" if kind.startswith(("node", "clock", "rude", "trip_client")) else "box" if kind.startswith(("box", "trip")) else "any"
     for kind in Kind.__args__  # type: ignore[attr-defined]
@@ -141,7 +144,9 @@
         early = rng.choice((1.0, 1.0, rng.uniform(0.0, 50.0)))
         how, byte = rng.randrange(64), float(rng.randrange(1, 500))
         faults.append(Fault(at_ms=round(at - early, 3), kind="discovery_spoil", target=how, value=byte))
-    if rng.random() < 0.3:
+    if seed >= PAIRED_FROM:
+        faults += _draw_pair(rng, at)
+    elif rng.random() < 0.3:
         faults.append(Fault(at_ms=round(at - 0.5, 3), kind="discovery_wrong", value=float(rng.randrange(8))))
     for kind in rng.sample(MISSED, rng.choice((0, 1, 1, 2))):
         after = rng.choice((-0.2, 0.2, rng.uniform(0.0, 10.0), rng.uniform(0.0, 300.0)))
@@ -152,6 +157,22 @@
     return Script(world=world, fault=sorted(faults, key=lambda fault: fault.at_ms))
 
 
+def _draw_pair(rng: random.Random, at: float) -> list[Fault]:
+    """What a watch has already been through when the line that is told at a time is lost: half a line, a line that is no list, or both.
+
+    Half a line is drawn over every state that it puts a watch in: just read, in its pause (0.1 s), after it, and given up (1 s). Nights
+    before these had half a line and lost framing together on one of a hundred, half a millisecond apart alone.
+    """
+    gap = rng.choice((0.5, rng.uniform(0.0, 5.0), rng.uniform(5.0, 99.0), rng.uniform(101.0, 500.0), rng.uniform(1_001.0, 1_900.0)))
+    gap = min(gap, at - 100.0)
+    values = rng.choice(((HALF_A_LINE,), (HALF_A_LINE,), (NO_LIST,), (NO_LIST, HALF_A_LINE), (float(rng.randrange(8)),)))
+    pair = [Fault(at_ms=round(at - gap / n, 3), kind="discovery_wrong", value=value) for n, value in enumerate(values, 1)]
+    if rng.random() < 0.6:
+        noise = rng.randrange(8)
+        pair.append(Fault(at_ms=round(max(0.0, at - gap - 1.0), 3), kind="discovery_spoil", target=FRAMING + 6 * noise, value=20.0))
+    return pair
+
+
 def _draw_hard(seed: int) -> Script:
     """A night on which much fails at once: many boxes cold together, floods, flushes, an order book in trouble, and few others."""
     rng = random.Random(f"hard/{seed}")
--- a/tests/forkweir/test_asking.py
+++ b/tests/forkweir/test_asking.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from forkweir.asking import LONGEST, SPREAD_MS, URGENT_MOST, URGENT_MS, WAIT, Asking
+from forkweir.asking import AGAIN_MS, LONGEST, SPREAD_MS, URGENT_MOST, URGENT_MS, WAIT, Asking
 
 
 def test_a_loss_is_asked_about_at_once_and_the_next_failure_waits() -> None:
@@ -47,3 +47,13 @@
     asking.heard()
     assert asking.wait(False, 0.0) <= 1_000.0 * WAIT * 2.0 * 1.3 < max(waits)
     assert all(0.0 <= asking.first() <= 300.0 for _ in range(50))
+
+
+def test_a_loss_that_is_still_owed_is_asked_about_again_within_a_drains_time() -> None:
+    asking = Asking(10_000.0, random.Random(4))
+    first = asking.wait(True, 1_000.0)
+    second = asking.wait(True, 1_002.0 + first)
+    assert first < SPREAD_MS and AGAIN_MS <= second <= 2.0 * AGAIN_MS  # not into the same refusal
+    assert asking.wait(True, 1_010.0 + first + second) > 250.0  # its budget is spent
+    asking.heard()
+    assert asking.wait(True, 1_000.0 + 3.0 * URGENT_MS) < SPREAD_MS
--- a/tests/test_lost_lines.py
+++ b/tests/test_lost_lines.py
@@ -9,6 +9,8 @@
 
 from corkshift import discovery
 from corkshift.seam import now_ms
+from testbed.nights import simulation
+from testbed.nights.script import Fault, Script, World
 from testbed.systems.standins import SPOIL_HOWS, SPOILT_BY, Spoil
 
 NAMES = ("s0", "s1", "s2", "s3", "s4")
@@ -153,3 +155,33 @@
             await until(lambda: len(made.discovery._fading) <= discovery.FADING_MOST)
 
     play(test)
+
+
+# What a watch has been through, as (ms before a drain is told without framing, what comes then), on the virtual clock.
+HALF, NO_LIST = 7.0, 0.0
+STATES: dict[str, list[tuple[float, float]]] = {
+    "idle": [],
+    "in a line": [(0.5, HALF)],
+    "in its pause": [(60.0, HALF)],
+    "after its pause": [(150.0, HALF)],
+    "given up": [(discovery.STUCK_S * 1000.0 + 120.0, HALF)],
+    "fading": [(20.0, NO_LIST)],
+    "fading in a line": [(20.0, NO_LIST), (0.5, HALF)],
+}
+
+
+@pytest.mark.parametrize("missed", ["discovery_refuse", "discovery_mute"])
+@pytest.mark.parametrize("state", STATES)
+def test_a_drain_is_kept_where_framing_is_lost_in_any_state_of_a_watch(state: str, missed: str) -> None:
+    at = 2_000.0
+    faults = [
+        *(Fault(at_ms=at - before, kind="discovery_wrong", value=value) for before, value in STATES[state]),
+        Fault(at_ms=at - 0.3, kind="discovery_spoil", target=SPOIL_HOWS.index("framing"), value=20.0),
+        Fault(at_ms=at, kind="box_drain", target=1, for_ms=50.0),
+    ]
+    # The calls that would tell the drain anew fail for longer than it may take.
+    refused = Fault(at_ms=min(fault.at_ms for fault in faults) - 0.1, kind=missed, for_ms=1_600.0)  # type: ignore[arg-type]
+    world = World(seconds=3.0, nodes=1, boxes=3, requests_per_s=150.0, keys=20, latency_us=50, jitter_us=0)
+    result = simulation.run(7, Script(world=world, fault=[refused, *faults]), keep=True)
+    assert not result.failures
+    assert any("held back until a whole list comes: s1" in line for line in result.lines)
--- a/tests/testbed/test_simulation.py
+++ b/tests/testbed/test_simulation.py
@@ -23,7 +23,8 @@
 HARD_PLAYED = 40
 RARE = {"aborts-a-kept-connection"}  # needs two events in one instant: seed 127 until the module's strain changed, 374 since
 HARD = range(20_001, 20_201)  # hard nights, of which the first are played,
-TOLD = range(10_000_001, 10_000_201)  # and nights on which discovery spoils what it tells, likewise
+TOLD = range(10_000_001, 10_000_201)  # and nights on which discovery spoils what it tells, likewise,
+PAIRED = range(10_100_001, 10_100_021)  # also on watches that had already lost something
 
 # A seed of the drawn nights that shows each defect, and the rule that it breaks there (docs/simulation.md has the table).
 FOUND: dict[str, tuple[int, str]] = {
@@ -94,7 +95,7 @@
 
 
 def test_no_seed_breaks_a_rule() -> None:
-    seeds = [*MANY, *HARD[:HARD_PLAYED], *TOLD[:HARD_PLAYED]]
+    seeds = [*MANY, *HARD[:HARD_PLAYED], *TOLD[:HARD_PLAYED], *PAIRED]
     failed = {summary.seed: summary.failures for summary in explore(seeds, JOBS) if summary.failures}
     assert failed == {}
 
