--- a/corkshift/cli/commands.py
+++ b/corkshift/cli/commands.py
@@ -12,6 +12,7 @@
 
 from testbed.cli import sim
 
+
 @click.group(name="gradeshift", invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
 @click.option("--operator", metavar="FILE", help="The operator's file (or the variable GRADESHIFT_OPERATOR).")
 @click.pass_context
