Testbed: a line of discovery carries the generation of its own changes, not of a later one

Two servers drain in one instant; one line is spoilt so that its entry is of no use, the other comes in no chunk. The node asks anew after the generation of the first line and is told nothing, which settles what it held back.

Examined: the trace. Both lines carried the later generation: Registry._write read self.generation when its task ran, after both changes were counted, and so did the first line of a watch. PROTOCOL numbers a line by the changes it holds, so the node was right to ask after it.

Change: the generation is taken with the entries.

--- a/testbed/systems/standins.py
+++ b/testbed/systems/standins.py
@@ -349,7 +349,7 @@
             self._history.popitem(last=False)
         spoil = self.spoils.pop(0) if self.spoils else None
         for connection in list(self.watches):
-            asyncio.get_running_loop().create_task(self._write(connection, entries, False, spoil))
+            asyncio.get_running_loop().create_task(self._write(connection, self.generation, entries, False, spoil))
 
     def tell_raw(self, data: bytes) -> None:
         """Write bytes that need not be a list to every watch that has had its first line."""
@@ -375,11 +375,14 @@
         return True
 
     async def _write(
-        self, connection: Connection, entries: list[dict[str, object]], full: bool, spoil: Optional[Spoil] = None
+        self, connection: Connection, generation: int, entries: list[dict[str, object]], full: bool, spoil: Optional[Spoil] = None
     ) -> None:
-        """Write a line, and tell the witness of what came whole with it."""
+        """Write a line, and tell the witness of what came whole with it.
+
+        generation: of the changes up to here, and not of a later one of the same instant, which a call after it would not be told.
+        """
         node = self.watches.get(connection, "")
-        text, spans = _line(self.generation, entries, full)
+        text, spans = _line(generation, entries, full)
         sound = connection not in self._unsound
         whole = entries
         data = _chunk(text)
@@ -422,7 +425,7 @@
         await stream.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watches[connection] = self.node_of(connection)
         beat = asyncio.get_running_loop().create_task(self._beat(connection))
-        first = asyncio.get_running_loop().create_task(self._begin(connection, *self._since(request.target)))
+        first = asyncio.get_running_loop().create_task(self._begin(connection, self.generation, *self._since(request.target)))
         try:
             while await stream.read():
                 pass
@@ -435,8 +438,8 @@
             self._mute.discard(connection)
         raise Ended("the watch")
 
-    async def _begin(self, connection: Connection, entries: list[dict[str, object]], full: bool) -> None:
-        await self._write(connection, entries, full)
+    async def _begin(self, connection: Connection, generation: int, entries: list[dict[str, object]], full: bool) -> None:
+        await self._write(connection, generation, entries, full)
         self._begun[connection] = None
 
     def _since(self, target: str) -> tuple[list[dict[str, object]], bool]:
