forkweir in rooms: what is known of servers, limits, and what chooses at the top; only moves

Need: membership (DNS SRV beside the box list) is the next pure module, and 22 files stood on one floor.

--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -17,7 +17,7 @@
 from corkshift.stream import Stream
 from corkshift.upstream import CacheServer, Pool
 from forkweir import Server
-from forkweir.hearsay import SUSPECT_MS, Hearsay, Word
+from forkweir.known.hearsay import SUSPECT_MS, Hearsay, Word
 
 log = logging.getLogger(__name__)
 
@@ -115,7 +115,7 @@
     """Keeps the node's list by one watch, begun when the module asks.
 
     A watch that was lost in part is read on until another one has told a whole line (make before break: what discovery writes to it
-    meanwhile counts as told), but only for what takes servers away (`listing.claims_of`, `forkweir.hearsay`).
+    meanwhile counts as told), but only for what takes servers away (`listing.claims_of`, `forkweir.known.hearsay`).
     """
 
     def __init__(self, node: Node, pool: Pool, address: Address) -> None:
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -20,7 +20,7 @@
 from corkshift.relay import Relay
 from corkshift.seam import Address, Socket, now_ms
 from corkshift.stream import CHUNK, Stream
-from forkweir.duty import ENDING, Duty
+from forkweir.limits.duty import ENDING, Duty
 
 log = logging.getLogger(__name__)
 
--- a/corkshift/listing.py
+++ b/corkshift/listing.py
@@ -1,7 +1,7 @@
 """What a watch of discovery carries: lines of JSON, and what can still be read of a line that is spoilt or cut. Sans-I/O.
 
 Bytes in; whole lines and claims out. Everything that knows discovery's form lives here; whether a claim is heeded is decided
-in `forkweir/hearsay.py`, and what a whole list does to the node's address book in `discovery`.
+in `forkweir/known/hearsay.py`, and what a whole list does to the node's address book in `discovery`.
 
 A claim is an entry that stands whole, from brace to brace, in bytes that are no whole line yet or never will be. It is what a line
 may still tell whose rest is lost (PROTOCOL: a change is told once discovery has written it). An entry that is cut or overwritten
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -61,7 +61,7 @@
         return self._balancer.fleet.avoided(now_ms())
 
     def health(self) -> dict[str, int]:
-        """How many cache servers are in each state of health (forkweir/health.py has the table)."""
+        """How many cache servers are in each state of health (forkweir/known/health.py has the table)."""
         return {str(state): count for state, count in self._balancer.fleet.states(now_ms()).items()}
 
     # -- events --------------------------------------------------------------------------
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -15,9 +15,6 @@
 from typing import Optional
 
 from forkweir.advice import Advice, Cause
-from forkweir.allowance import Allowances
-from forkweir.asking import Asking
-from forkweir.fetches import PASS, Fetches
 from forkweir.fleet import Fleet, Member
 from forkweir.gate import (
     ORIGIN_DOWN,
@@ -26,18 +23,21 @@
     USUAL_SLOW,
     Gate,
 )
+from forkweir.known.asking import Asking
+from forkweir.known.seen import WORDS, Seen
+from forkweir.limits.allowance import Allowances
+from forkweir.limits.fetches import PASS, Fetches
+from forkweir.limits.patience import Patience
+from forkweir.limits.savings import ERRORS, REPEATS, Savings
+from forkweir.limits.work import Costs
 from forkweir.line import Line, position_of
-from forkweir.patience import Patience
 from forkweir.request import Request
-from forkweir.savings import ERRORS, REPEATS, Savings
-from forkweir.seen import WORDS, Seen
 from forkweir.settings import (
     Action,
     ClassSpec,
     Server,
     Settings,
 )
-from forkweir.work import Costs
 
 PROBE_MS = 500.0  # between probes, where load reports come with probes alone
 FIRST_PROBES = 20  # at the start, at five times that pace
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -8,13 +8,13 @@
 from math import exp
 from typing import Optional
 
-from forkweir.allowance import Account
-from forkweir.health import STATES, Health, HealthTable, State
+from forkweir.known.health import STATES, Health, HealthTable, State
+from forkweir.known.seen import Seen
+from forkweir.known.speeds import Pace, Speeds
+from forkweir.known.zones import Zones
+from forkweir.limits.allowance import Account
 from forkweir.line import digest
-from forkweir.seen import Seen
 from forkweir.settings import Server, Settings
-from forkweir.speeds import Pace, Speeds
-from forkweir.zones import Zones
 
 RANGES_PER_SERVER = 8  # ranges are at least this many times the servers they are dealt to
 SMALLEST_RANGES = 2048  # constant for every fleet up to 256, so nodes with other lists agree
--- a/forkweir/gate.py
+++ b/forkweir/gate.py
@@ -5,7 +5,7 @@
 from math import exp
 
 from forkweir.fleet import STRAIN_MS, Fleet, Member
-from forkweir.seen import Seen
+from forkweir.known.seen import Seen
 
 ORIGIN_STEP = 0.1  # weight of one miss in the judgement of the origin
 ORIGIN_SLOW = 0.6  # misses that take this part of the aim on average: the origin is in trouble
--- a/forkweir/health.py
+++ b/forkweir/known/health.py
@@ -27,8 +27,8 @@
 from collections.abc import Sequence
 from typing import Literal
 
-from forkweir.doubt import Doubts, Record
-from forkweir.seen import Seen
+from forkweir.known.doubt import Doubts, Record
+from forkweir.known.seen import Seen
 
 EJECT_MS = 1_000.0  # first ejection; doubles up to the longest
 EJECT_MAX_MS = 8_000.0
--- a/forkweir/zones.py
+++ b/forkweir/known/zones.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from forkweir.seen import Seen
+from forkweir.known.seen import Seen
 
 CUT_AFTER = 4  # unanswered attempts in a row at one other zone: its links are held to be cut
 SILENT_AIMS = 2.0  # or as many out with no answer for this many times the aim, while the own zone answers
--- /dev/null
+++ b/forkweir/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits: the unit of work, allowances, budgets, patience, duty. Pure, no I/O, no clock."""
--- a/forkweir/allowance.py
+++ b/forkweir/limits/allowance.py
@@ -36,7 +36,7 @@
 
 import random
 
-from forkweir.work import Faded
+from forkweir.limits.work import Faded
 
 ASKED_MS = 5_000.0  # forgetting time of what clients ask for
 PROVEN_MS = 30_000.0  # and of what warm servers bore
--- a/forkweir/fetches.py
+++ b/forkweir/limits/fetches.py
@@ -24,7 +24,7 @@
 
 from typing import Optional
 
-from forkweir.work import Faded
+from forkweir.limits.work import Faded
 
 KEYS = 4_096
 LEARN = 0.03  # weight of one answer in the judgement of what misses
--- a/testbed/nights/defects.py
+++ b/testbed/nights/defects.py
@@ -15,9 +15,9 @@
 from corkshift.node import Node
 from corkshift.stream import Stream
 from corkshift.upstream import Attempt, NotSent, Outcome, Pool
-from forkweir.allowance import Account, Allowances
 from forkweir.choice import Balancer
 from forkweir.fleet import Fleet
+from forkweir.limits.allowance import Account, Allowances
 
 Patch = tuple[Any, str, Any]
 DEFECTS: dict[str, tuple[str, Callable[[], list[Patch]]]] = {}
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -11,7 +11,7 @@
 
 from corkshift.admin import Admin, Status
 from corkshift.admin.server import MOST
-from forkweir.duty import SHED_MS
+from forkweir.limits.duty import SHED_MS
 
 
 class Desk:
--- a/tests/forkweir/test_allowance.py
+++ b/tests/forkweir/test_allowance.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from forkweir.allowance import BURST_MS, DEPTH, LEAST_TRUST, MOST_BOOST, STARVED_MS, Account, Allowances
 from forkweir.choice import Balancer
+from forkweir.limits.allowance import BURST_MS, DEPTH, LEAST_TRUST, MOST_BOOST, STARVED_MS, Account, Allowances
+from forkweir.limits.work import STEP, Costs, Faded
 from forkweir.settings import ClassSpec, Server, Settings
-from forkweir.work import STEP, Costs, Faded
 
 READ = ClassSpec("read", aim_ms=750, deadline_ms=2500, worth=3)
 ORDER = ClassSpec("order", aim_ms=1200, deadline_ms=2500, repeat="keyed", repeat_window_ms=2500, worth=8)
--- a/tests/forkweir/test_asking.py
+++ b/tests/forkweir/test_asking.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from forkweir.asking import AGAIN_MS, LONGEST, SPREAD_MS, URGENT_MOST, URGENT_MS, WAIT, Asking
+from forkweir.known.asking import AGAIN_MS, LONGEST, SPREAD_MS, URGENT_MOST, URGENT_MS, WAIT, Asking
 
 
 def test_a_loss_is_asked_about_at_once_and_the_next_failure_waits() -> None:
--- a/tests/forkweir/test_doubt.py
+++ b/tests/forkweir/test_doubt.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from forkweir import Balancer, ClassSpec, Server, Settings
-from forkweir.doubt import (
+from forkweir.known.doubt import (
     COMMON,
     HIGH,
     LEAST_USUAL,
--- a/tests/forkweir/test_duty.py
+++ b/tests/forkweir/test_duty.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from forkweir.duty import ENDING, QUIESCED, SERVING, SHED_MS, Duty
+from forkweir.limits.duty import ENDING, QUIESCED, SERVING, SHED_MS, Duty
 
 
 def test_a_node_that_drains_says_no_until_it_is_put_back() -> None:
--- a/tests/forkweir/test_fetches.py
+++ b/tests/forkweir/test_fetches.py
@@ -5,7 +5,7 @@
 import pytest
 
 from forkweir.choice import Balancer
-from forkweir.fetches import CUT, CUT_MS, FRESH_MS, KEYS, LEAST, PASS, SLOW_FEW, SLOW_MANY, Fetches
+from forkweir.limits.fetches import CUT, CUT_MS, FRESH_MS, KEYS, LEAST, PASS, SLOW_FEW, SLOW_MANY, Fetches
 from forkweir.settings import ClassSpec, Server, Settings
 
 READ = ClassSpec("read", aim_ms=750, deadline_ms=2500, worth=3)
--- a/tests/forkweir/test_gate.py
+++ b/tests/forkweir/test_gate.py
@@ -4,7 +4,7 @@
 
 from forkweir.fleet import Fleet
 from forkweir.gate import ORIGIN_SLOW, Gate
-from forkweir.seen import WORDS
+from forkweir.known.seen import WORDS
 from forkweir.settings import ClassSpec, Server, Settings
 
 READ = ClassSpec("read", aim_ms=800.0, deadline_ms=2500.0)
--- a/tests/forkweir/test_health.py
+++ b/tests/forkweir/test_health.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from forkweir.doubt import MOST_ALONE, TRIAL_MOST_MS, Doubts, Record
-from forkweir.health import AWAY_MS, EJECT_MAX_MS, EJECT_MS, FAULTS_ROW, SILENT_MOST, SILENT_ROW, STATES, Health, HealthTable
-from forkweir.seen import WORDS, Seen
+from forkweir.known.doubt import MOST_ALONE, TRIAL_MOST_MS, Doubts, Record
+from forkweir.known.health import AWAY_MS, EJECT_MAX_MS, EJECT_MS, FAULTS_ROW, SILENT_MOST, SILENT_ROW, STATES, Health, HealthTable
+from forkweir.known.seen import WORDS, Seen
 from forkweir.settings import ClassSpec
 
 AIM_MS = 800.0
--- a/tests/forkweir/test_hearsay.py
+++ b/tests/forkweir/test_hearsay.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from forkweir.hearsay import MOST_SUSPECT, SUSPECT_MS, Hearsay, Word
+from forkweir.known.hearsay import MOST_SUSPECT, SUSPECT_MS, Hearsay, Word
 
 NAMES = [f"s{n}" for n in range(12)]
 words = st.builds(Word, st.sampled_from(NAMES), st.sampled_from(["draining", "gone", "in", "unreadable"]), st.booleans(), st.booleans())
--- a/tests/forkweir/test_patience.py
+++ b/tests/forkweir/test_patience.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from forkweir import Balancer, ClassSpec, Server, Settings
-from forkweir.patience import Patience
-from forkweir.savings import BANK, ERRORS, Savings
+from forkweir.limits.patience import Patience
+from forkweir.limits.savings import BANK, ERRORS, Savings
 
 READ = ClassSpec("read", aim_ms=800.0, deadline_ms=2500.0, worth=3.0)
 
--- a/tests/forkweir/test_seen.py
+++ b/tests/forkweir/test_seen.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from forkweir.seen import LONG, NEVER_RAN, QUICK, SORTS, WORDS, Seen
+from forkweir.known.seen import LONG, NEVER_RAN, QUICK, SORTS, WORDS, Seen
 from forkweir.settings import ClassSpec
 
 READ = ClassSpec("read", aim_ms=800.0, deadline_ms=2500.0)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,8 +2,8 @@
 
 from forkweir.choice import Balancer
 from forkweir.gate import ORIGIN_SLOW
+from forkweir.known.zones import CUT_AFTER
 from forkweir.settings import ClassSpec, Server, Settings
-from forkweir.zones import CUT_AFTER
 
 READ = ClassSpec("read", aim_ms=300, deadline_ms=1000)
 
--- a/tests/test_lost_lines.py
+++ b/tests/test_lost_lines.py
@@ -90,7 +90,7 @@
 
 
 def test_a_server_that_a_broken_entry_names_is_held_back_for_a_while_alone(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("forkweir.hearsay.SUSPECT_MS", 200.0)
+    monkeypatch.setattr("forkweir.known.hearsay.SUSPECT_MS", 200.0)
     monkeypatch.setattr(discovery, "SUSPECT_MS", 200.0)
 
     async def test() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from forkweir.choice import Balancer
-from forkweir.seen import NEVER_RAN
+from forkweir.known.seen import NEVER_RAN
 from forkweir.settings import Action, ClassSpec, Server, Settings
 
 CLASSES = (
--- a/tests/testbed/test_fleet.py
+++ b/tests/testbed/test_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from forkweir.savings import BANK, ERRORS, REPEATS
+from forkweir.limits.savings import BANK, ERRORS, REPEATS
 from testbed.nights.fleets import ALL, BOXES, NODES, night
 from testbed.nights.simulation import Result, run
 from testbed.nights.traffic import Traffic, counted
