Cache servers from DNS SRV and a file beside the box list, merged by stated rules; off

Need: the box list is seconds late and knows only whether a process runs.

Change: corkshift/sources: the box list unchanged on the wire, DNS with a small resolver on the node's own datagrams and streams (dnspython for the format), a file; their views meet in forkweir/known/membership.py, and the merged set goes to the address book and the module. Off unless an operator's file has [sources]; nothing of it is imported then. `members` shows a running node's view over a Unix socket, `sources check` asks each source once. A stand-in DNS server in the testbed, wrong in 17 ways.

Found by the tests on the way and mended: a drain said by a source that does not count just now, a box held for good beyond its time, holds without a bound.

--- a/corkshift/cli/commands.py
+++ b/corkshift/cli/commands.py
@@ -54,6 +54,32 @@
     return demo(seconds, operator)
 
 
+@_root.command()
+@click.option("--socket", "path", metavar="PATH", help="The node's socket, instead of members_socket of the operator's file.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+@click.pass_obj
+def members(operator: Optional[str], path: Optional[str], as_json: bool) -> int:
+    """Whom a running node believes to be there, who says so, and which rule decided."""
+    from corkshift.cli.members import members
+
+    return members(operator, path, as_json)
+
+
+@_root.group()
+def sources() -> None:
+    """Where a node learns of cache servers."""
+
+
+@sources.command("check")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+@click.pass_obj
+def sources_check(operator: Optional[str], as_json: bool) -> int:
+    """Ask each source once and show the merge; exits with 1 where one failed."""
+    from corkshift.cli.members import check
+
+    return check(operator, as_json)
+
+
 _root.add_command(sim)
 
 
--- a/corkshift/cli/operator.py
+++ b/corkshift/cli/operator.py
@@ -10,6 +10,7 @@
 
 from corkshift import seam
 from corkshift.cli.schema import Fault, Table, examine
+from corkshift.sources.options import SourcesTable
 
 Count = Annotated[int, msgspec.Meta(ge=1, le=256)]
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
@@ -17,7 +18,7 @@
 Span = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
 
 
-class BadOperatorFile(Exception):
+class BadOperatorFile(ValueError):
     """The operator's file can't be read or has faults; one line each."""
 
     def __init__(self, path: str, faults: list[Fault]) -> None:
@@ -47,6 +48,7 @@
 
     format: Literal[1]
     demo: Optional[Demo] = None
+    sources: Optional[SourcesTable] = None
 
 
 def parse(text: bytes, path: str) -> Operator:
--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -6,13 +6,12 @@
 import logging
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import Any, Optional
+from typing import Any, Optional, Protocol
 
 import h11
 
 from corkshift import seam
 from corkshift.listing import BadList, Claim, Lines, claims_of, parse, read
-from corkshift.node import Node
 from corkshift.seam import Address, now_ms
 from corkshift.stream import Stream
 from corkshift.upstream import CacheServer, Pool
@@ -31,6 +30,16 @@
 FADING_S = 10.0  # and for how long
 
 
+class Book(Protocol):
+    """Whom discovery tells: a node, or what merges it with other sources (`corkshift/sources`)."""
+
+    servers: dict[str, CacheServer]
+
+    def on_list(self, form: str, entries: Iterable[Server]) -> None:
+        """The address book has changed, or could not be brought up to date (`forkweir.Balancer.on_list` has the forms)."""
+        ...
+
+
 class Watch:
     """One call to discovery, from its dial to its end."""
 
@@ -118,7 +127,7 @@
     meanwhile counts as told), but only for what takes servers away (`listing.claims_of`, `forkweir.known.hearsay`).
     """
 
-    def __init__(self, node: Node, pool: Pool, address: Address) -> None:
+    def __init__(self, node: Book, pool: Pool, address: Address) -> None:
         self._node = node
         self._pool = pool
         self._address = address
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -60,6 +60,12 @@
         """How many of the listed cache servers get nothing now because of how they did."""
         return self._balancer.fleet.avoided(now_ms())
 
+    def usable(self, name: str) -> bool:
+        """Whether a cache server may get requests as far as its health goes; one that is not known may."""
+        fleet = self._balancer.fleet
+        member = fleet.members.get(name)
+        return member is None or fleet.usable(member, now_ms())
+
     def health(self) -> dict[str, int]:
         """How many cache servers are in each state of health (forkweir/known/health.py has the table)."""
         return {str(state): count for state, count in self._balancer.fleet.states(now_ms()).items()}
--- a/corkshift/seam/__init__.py
+++ b/corkshift/seam/__init__.py
@@ -69,6 +69,14 @@
         """The process's environment."""
         ...
 
+    def entropy(self, size: int) -> bytes:
+        """So many bytes that nobody can guess."""
+        ...
+
+    def unix_listener(self, path: str) -> Socket:
+        """A bound Unix socket at a path, for this user alone; one left behind by a process that is gone is replaced. OSError."""
+        ...
+
 
 class System:
     """The real side: the operating system."""
@@ -102,6 +110,30 @@
     def environ(self) -> Mapping[str, str]:
         return os.environ
 
+    def entropy(self, size: int) -> bytes:
+        return os.urandom(size)
+
+    def unix_listener(self, path: str) -> Socket:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+            try:
+                probe.connect(path)
+            except FileNotFoundError:
+                pass
+            except ConnectionRefusedError:
+                os.unlink(path)  # nobody listens there any more
+            else:
+                raise OSError(errno.EADDRINUSE, f"{path}: another process listens there")
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        before = os.umask(0o177)
+        try:
+            sock.bind(path)
+        except OSError as error:
+            sock.close()
+            raise OSError(error.errno, f"{path}: {error.strerror}") from None
+        finally:
+            os.umask(before)
+        return sock
+
 
 _SYSTEM: Seam = System()
 SIDE: ContextVar[Seam] = ContextVar("corkshift_seam", default=_SYSTEM)
@@ -137,6 +169,16 @@
     return SIDE.get().environ()
 
 
+def entropy(size: int) -> bytes:
+    """So many bytes that nobody can guess."""
+    return SIDE.get().entropy(size)
+
+
+def unix_listener(path: str) -> Socket:
+    """A bound Unix socket at a path."""
+    return SIDE.get().unix_listener(path)
+
+
 async def connect(sock: Socket, address: Address) -> None:
     """Connect a socket; OSError when it is refused. Never answered, it waits until it is cancelled."""
     await asyncio.get_running_loop().sock_connect(cast(socket.socket, sock), address)
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Optional
 
 from corkshift import seam
@@ -18,6 +19,8 @@
 
 if TYPE_CHECKING:
     from corkshift.admin import Admin
+    from corkshift.sources.hub import Sources
+    from corkshift.sources.options import SourcesTable
 
 log = logging.getLogger("corkshift")
 
@@ -27,7 +30,13 @@
 class Service:
     """A node and what belongs to it, from its start to the end of its drain."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(
+        self,
+        config: Config,
+        sources: Optional[SourcesTable] = None,
+        reread: Callable[[], Optional[SourcesTable]] = lambda: None,
+    ) -> None:
+        """sources: what an operator's file has of them, and reread: the same when the file is read again (ValueError if it is bad)."""
         # Descriptors: seven sixteenths for cache servers, nine for clients, after a reserve for all else (a dozen are in use).
         # Each open request holds one of either kind, and clients have others that rest.
         sockets = max(16, config.sockets - min(24, config.sockets // 4))
@@ -37,7 +46,14 @@
         self.pool = Pool(upstream, config.dial_timeout_ms, config.conn_idle_ms, self.figures)
         self.node = Node(config, self.pool, min(config.max_open, upstream))
         self.frontend = Frontend(self.node, self._listener(), sockets - upstream, config.memory_mb * BODY_SHARE, self._shared)
-        self.discovery = Discovery(self.node, self.pool, config.discovery)
+        self.sources: Optional[Sources] = None
+        self._reread = reread
+        if sources is not None:
+            # Only where an operator's file has them: what is off costs nothing.
+            from corkshift.sources.hub import Sources
+
+            self.sources = Sources(self.node, self.pool, sources, config.seed)
+        self.discovery = Discovery(self.sources.box_list if self.sources else self.node, self.pool, config.discovery)
         self.node.follow = self.discovery.follow
         self.admin: Optional[Admin] = None
         if config.admin is not None:
@@ -65,11 +81,15 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         self.discovery.start(self.config.known)
+        if self.sources is not None:
+            self.sources.start()
         self.frontend.start()
         if self.admin is not None:
             self.admin.start()
         await self._stop.wait()
         await self.frontend.drain()
+        if self.sources is not None:
+            self.sources.close()
         if self.admin is not None:
             self.admin.close()
 
@@ -93,8 +113,18 @@
         if any(getattr(fresh, name) != getattr(config, name) for name in ("known", "settings", "listen", "admin")):
             log.info("reload: what else has changed waits for the next start")
         self.discovery.move(fresh.discovery)
-
-
-async def run(config: Config) -> None:
-    """Serve until SIGTERM or SIGINT, then drain. OSError where it cannot listen."""
-    await Service(config).run()
+        if self.sources is not None:
+            try:
+                options = self._reread()
+            except ValueError as error:
+                log.error("reload: %s; the sources stay as they are", error)
+                return
+            if options is not None:
+                self.sources.reload(options)
+
+
+async def run(
+    config: Config, sources: Optional[SourcesTable] = None, reread: Callable[[], Optional[SourcesTable]] = lambda: None
+) -> None:
+    """Serve until SIGTERM or SIGINT, then drain. OSError where it cannot listen. The rest as `Service` has it."""
+    await Service(config, sources, reread).run()
--- /dev/null
+++ b/corkshift/sources/file.py
@@ -0,0 +1,92 @@
+"""A file of known boxes as a source: read at the start and on SIGHUP."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from typing import Annotated, Optional
+
+import msgspec
+
+from corkshift import seam
+from corkshift.cli.schema import Fault, Table, examine
+from corkshift.config import address_of
+from corkshift.sources import Sink
+from corkshift.sources.options import FileTable
+from forkweir.known.membership import Claim
+
+
+class BoxTable(Table, frozen=True, kw_only=True):
+    """`[[box]]`: one known box."""
+
+    address: str
+    name: Annotated[str, msgspec.Meta(max_length=128)] = ""
+    zone: str = ""
+    kind: str = ""
+    weight: Optional[Annotated[float, msgspec.Meta(gt=0.0, le=1_000.0)]] = None
+    priority: Annotated[int, msgspec.Meta(ge=0, le=65_535)] = 0
+    draining: bool = False
+
+    def contradictions(self) -> Iterator[Fault]:
+        try:
+            address_of(self.address)
+        except ValueError as error:
+            yield Fault("address", str(error))
+
+
+class BoxFile(Table, frozen=True, kw_only=True):
+    """The whole file."""
+
+    box: list[BoxTable]
+
+    def contradictions(self) -> Iterator[Fault]:
+        for what in ("address", "name"):
+            seen: set[str] = set()
+            for n, box in enumerate(self.box):
+                value = getattr(box, what)
+                if value and value in seen:
+                    yield Fault(f"box[{n}].{what}", f"stands there twice: {value!r:.80}")
+                seen.add(value)
+
+
+def claims_of(text: bytes) -> list[Claim]:
+    """The boxes of a file's text; ValueError with a line for each fault."""
+    try:
+        data = tomllib.loads(text.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ValueError(f"not TOML: {error}") from None
+    if faults := examine(BoxFile, data):
+        raise ValueError("; ".join(map(str, faults)))
+    return [
+        Claim(
+            address_of(box.address), "draining" if box.draining else "in", box.name, box.zone, box.kind,
+            weight=box.weight, priority=box.priority,
+        )
+        for box in msgspec.convert(data, BoxFile).box
+    ]  # fmt: skip
+
+
+class FileSource:
+    """The file, as it was when it was last read. A bad one changes nothing."""
+
+    def __init__(self, sink: Sink, options: FileTable) -> None:
+        self._sink = sink
+        self._options = options
+
+    def start(self) -> None:
+        try:
+            claims = claims_of(seam.read_file(self._options.path))
+        except OSError as error:
+            self._sink.failed("file", f"{self._options.path}: {error.strerror}")
+        except ValueError as error:
+            self._sink.failed("file", f"{self._options.path}: {error}")
+        else:
+            self._sink.tell("file", claims)
+
+    def close(self) -> None:
+        pass
+
+    def reload(self, options: FileTable) -> None:
+        """Read it again, or another one."""
+        self._options = options
+        self.start()
--- /dev/null
+++ b/corkshift/sources/options.py
@@ -0,0 +1,119 @@
+"""`[sources]` of the operator's file."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Annotated, Literal, Optional
+
+import msgspec
+
+from corkshift.cli.schema import Fault, Table
+from corkshift.config import address_of
+from corkshift.seam import Address
+from forkweir.known.membership import Guard, Rights
+
+Right = Literal["add", "drain", "remove", "weigh"]
+Rank = Annotated[int, msgspec.Meta(ge=0, le=99)]
+Span = Annotated[float, msgspec.Meta(gt=0.0, le=604_800.0)]
+ALL: tuple[Right, ...] = ("add", "drain", "remove", "weigh")
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of a resolver: lifetimes in s from floor_s to ceiling_s."""
+
+    floor_s: float = 1.0
+    ceiling_s: float = 300.0
+    stale_s: float = 86_400.0  # how long after its end an answer is served while no server answers
+    queries_per_s: float = 20.0
+
+
+class _Ranked(Table, frozen=True, kw_only=True):
+    rank: Rank = 0
+    may: list[Right] = msgspec.field(default_factory=lambda: list(ALL))
+    stale_s: Optional[Span] = None
+
+    def rights(self, fallback: bool = False) -> Rights:
+        """Its rights, in the terms of the merge."""
+        stale_ms = float("inf") if self.stale_s is None else self.stale_s * 1000.0
+        may = {right: right in self.may for right in ALL}
+        return Rights(self.rank, may["add"], may["drain"], may["remove"], may["weigh"], fallback, stale_ms)
+
+
+class ListTable(_Ranked, frozen=True, kw_only=True):
+    """`[sources.list]`: the box list of the node's configuration, which is always a source."""
+
+
+class DnsTable(_Ranked, frozen=True, kw_only=True):
+    """`[sources.dns]`: SRV records."""
+
+    service: Annotated[str, msgspec.Meta(min_length=1, max_length=253)]  # _menu._tcp.cache.example.org
+    resolvers: list[str] = []  # host:port; none: those of resolv_conf
+    resolv_conf: str = "/etc/resolv.conf"
+    rank: Rank = 10
+    may: list[Right] = msgspec.field(default_factory=lambda: list[Right](["add", "weigh"]))
+    floor_s: Span = 1.0  # of lifetimes
+    ceiling_s: Span = 300.0
+    old_s: Annotated[float, msgspec.Meta(ge=0.0, le=604_800.0)] = 86_400.0  # how long old answers are served (RFC 8767)
+    queries_per_s: Annotated[float, msgspec.Meta(ge=0.1, le=1_000.0)] = 20.0
+
+    def contradictions(self) -> Iterator[Fault]:
+        for n, text in enumerate(self.resolvers):
+            try:
+                ipaddress.IPv4Address(address_of(text)[0])
+            except ValueError:
+                yield Fault(f"resolvers[{n}]", f"an IPv4 address and a port (10.0.0.2:53), got {text!r:.60}")
+        if self.floor_s > self.ceiling_s:
+            yield Fault("floor_s", f"must not be over ceiling_s ({self.ceiling_s:g}), got {self.floor_s:g}")
+        if not all(0 < len(label) <= 63 and label.isascii() for label in self.service.rstrip(".").split(".")):
+            yield Fault("service", f"labels of 1 to 63 ASCII characters, got {self.service!r:.80}")
+
+    def limits(self) -> Limits:
+        """The resolver's bounds."""
+        return Limits(self.floor_s, self.ceiling_s, self.old_s, self.queries_per_s)
+
+    def addresses(self) -> list[Address]:
+        """The resolvers that are named here."""
+        return [address_of(text) for text in self.resolvers]
+
+
+class FileTable(_Ranked, frozen=True, kw_only=True):
+    """`[sources.file]`: boxes that stand in a file."""
+
+    path: Annotated[str, msgspec.Meta(min_length=1)]
+    rank: Rank = 20
+    may: list[Right] = msgspec.field(default_factory=lambda: list[Right](["add"]))
+    fallback: bool = True  # counts only while nothing else is in service
+
+
+class GuardTable(Table, frozen=True, kw_only=True):
+    """`[sources.guard]`: what is held back when a source stops naming many boxes at once."""
+
+    most_fall: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.5
+    fall_s: Span = 10.0
+    hold_s: Span = 30.0
+
+    def guard(self) -> Guard:
+        """In the terms of the merge."""
+        return Guard(self.most_fall, self.fall_s * 1000.0, self.hold_s * 1000.0)
+
+
+class SourcesTable(Table, frozen=True, kw_only=True):
+    """`[sources]`: what a node learns of boxes from beside the box list, and how they are merged."""
+
+    members_socket: Optional[Annotated[str, msgspec.Meta(min_length=1, max_length=100)]] = None
+    list: ListTable = ListTable()
+    dns: Optional[DnsTable] = None
+    file: Optional[FileTable] = None
+    guard: GuardTable = GuardTable()
+
+    def rights(self) -> dict[str, Rights]:
+        """Of each source, and of the list that the node was started with (`known`), which counts only while nothing else does."""
+        rights = {"list": self.list.rights(), "known": Rights(99, True, False, False, False, fallback=True)}
+        if self.dns is not None:
+            rights["dns"] = self.dns.rights()
+        if self.file is not None:
+            rights["file"] = self.file.rights(self.file.fallback)
+        return rights
--- a/corkshift/start.py
+++ b/corkshift/start.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import sys
-from typing import Optional
+from typing import TYPE_CHECKING, Optional
 
 from corkshift import seam
 from corkshift.config import BadConfig, load
 from corkshift.seam import process
 from corkshift.service import run
 
+if TYPE_CHECKING:
+    from corkshift.sources.options import SourcesTable
+
 OPERATOR = "GRADESHIFT_OPERATOR"
 
 
@@ -23,17 +26,24 @@
         print(f"corkshift: {error}", file=sys.stderr)
         return 2
     operator = operator or environ.get(OPERATOR)
+    sources: Optional[SourcesTable] = None
     if operator:
         # Only where there is a file: what is off costs nothing.
         from corkshift.cli.operator import BadOperatorFile, read
 
         try:
-            read(operator)
+            sources = read(operator).sources
         except BadOperatorFile as error:
             print(f"corkshift: {error}", file=sys.stderr)
             return 2
+
+    def reread() -> Optional[SourcesTable]:
+        from corkshift.cli.operator import read
+
+        return read(operator).sources if operator else None
+
     try:
-        process.play(run(config))
+        process.play(run(config, sources, reread))
     except OSError as error:
         print(f"corkshift: cannot listen: {error.strerror or error}", file=sys.stderr)
         return 1
--- a/forkweir/known/membership.py
+++ b/forkweir/known/membership.py
@@ -9,7 +9,7 @@
     gone by X       X said so in so many words, or no longer names what it named, and goes before all that still name it
     held: fall      X stopped naming more than `most_fall` of its boxes within `fall_ms`: kept for `hold_ms`, and reported
     held: flapping  it came and went FLAP_AT times within about a minute: kept until its penalty has faded
-    held: last      no source would leave anything in service
+    held: last      no source would leave anything in service: what was last named, up to TOMB_MS after it went while others served
     fallback X      X counts only while nothing else is in service
 
 A drain, and a box that is said to be gone by name, are never held: the rule on drains goes before every guard. What is held is what a
@@ -195,6 +195,10 @@
             elif penalty >= FLAP_AT:
                 view.held[address] = _Held(claim, float("inf"), "flapping", since)
                 self._reports.append(f"{source}: {_text(address)} comes and goes; kept")
+            else:
+                view.held[address] = _Held(claim, now, "last", since)  # of use only if nothing else is left
+        while len(view.held) > MOST_BOXES:
+            del view.held[next(iter(view.held))]
         for address in [a for a in view.penalties if view.penalty(a, now) < PENALTY_LEAST]:
             del view.penalties[address]
         while len(view.penalties) > MOST_BOXES:
@@ -223,7 +227,11 @@
         if not _in_service(ordinary):
             ordinary = self._boxes(now, list(self._views), last=False)
         if not _in_service(ordinary):
-            ordinary = self._boxes(now, list(self._views), last=True)
+            return self._boxes(now, list(self._views), last=True)
+        for view in self._views.values():
+            # Others serve: what was held has had its time (guards against a box of long ago that comes back when the set runs empty).
+            for address in [a for a, held in view.held.items() if held.until + TOMB_MS <= now]:
+                del view.held[address]
         return ordinary
 
     def _lapse(self, now: float) -> None:
@@ -231,7 +239,7 @@
             for address, held in view.held.items():
                 if held.why == "flapping" and view.penalty(address, now) < FLAP_UNTIL:
                     held.until = min(held.until, now)
-            for address in [a for a, at in view.tombs.items() if now - at >= TOMB_MS and a not in view.held]:
+            for address in [a for a, at in view.tombs.items() if now - at >= TOMB_MS]:
                 del view.tombs[address]
                 view.by_name.discard(address)
 
@@ -254,15 +262,13 @@
     def _box(self, address: Address, names: list[str], now: float, last: bool, taken: set[str]) -> Optional[Box]:
         says: list[tuple[str, Claim, float, str]] = []  # source, claim, since, how
         removed: Optional[tuple[int, float]] = None  # by the best rank that removed it: rank, when
-        drained = ""
+        drained = next((n for n, v in self._views.items() if v.rights.drain and _state(v, address) == "draining"), "")  # whoever counts
         for name in names:  # best first
             view = self._views[name]
             claim, held = view.claims.get(address), view.held.get(address)
             if claim is not None:
                 since = view.since[address]
-                if claim.state == "draining" and view.rights.drain:
-                    drained = drained or name
-                elif removed is not None and removed[0] < view.rights.rank and since <= removed[1]:
+                if drained != name and removed is not None and removed[0] < view.rights.rank and since <= removed[1]:
                     continue
                 says.append((name, claim, since, claim.state))
             elif held is not None and (last or held.until > now):
@@ -318,5 +324,10 @@
     return any(box.server.state == "in" for box in boxes)
 
 
+def _state(view: _View, address: Address) -> str:
+    claim = view.claims.get(address)
+    return claim.state if claim is not None else ""
+
+
 def _text(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
--- a/testbed/machine/process.py
+++ b/testbed/machine/process.py
@@ -65,6 +65,12 @@
     def environ(self) -> Mapping[str, str]:
         return self.variables
 
+    def entropy(self, size: int) -> bytes:
+        return self.net.rng.randbytes(size)
+
+    def unix_listener(self, path: str) -> VirtualSocket:
+        raise failure(errno.EAFNOSUPPORT)  # nobody comes to a Unix socket here
+
     def _socket(self, kind: str) -> VirtualSocket:
         self.check_descriptors()
         sock = VirtualSocket(self.net, self, self.host, kind)
--- a/testbed/nights/rules.py
+++ b/testbed/nights/rules.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 from typing import Optional
 
+from corkshift.discovery import FADING_MOST
 from corkshift.service import Service
 from testbed.machine.net import VirtualSocket
 from testbed.machine.parts import Owner
@@ -344,7 +345,8 @@
                 "requests of the module": len(node._balancer.held),
                 "bytes of bodies": service.frontend.budget.used,
                 "client connections": len(service.frontend._connections),
-                "tasks over the usual": max(0, len(process.pending()) - 2),
+                # A watch that lost something is read on until another has told a line: its next call may be due after the end (10101004).
+                "tasks over the usual": max(0, len(process.pending()) - 2 - min(FADING_MOST, len(service.discovery._fading))),
                 "connections in use": service.pool.open - len(service.pool._resting),
             }
             for what, count in left.items():
--- /dev/null
+++ b/testbed/systems/dns.py
@@ -0,0 +1,255 @@
+"""A stand-in DNS server for one zone, over UDP and TCP, with answers by script. Runs on both sides of the seam.
+
+It answers SRV, A and CNAME from its records and is wrong in the ways of HOWS, each named by what it does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any, Optional
+
+import dns.flags
+import dns.message
+import dns.name
+import dns.rcode
+import dns.rdatatype
+import dns.rrset
+
+from corkshift import seam
+from corkshift.seam import Address
+from corkshift.stream import KERNEL_BUFFER, Stream
+
+SERVICE = "_menu._tcp.cache.example.org."
+ZONE = "cache.example.org."
+SOA = "ns.cache.example.org. admin.cache.example.org. 1 60 60 600 5"
+UDP_MOST = 1_232
+MANY = 4_000  # records: what one message over TCP holds
+
+HOWS = (
+    "good", "silent", "servfail", "refused", "garbage", "another question", "another case", "forged id", "forged sender", "truncated",
+    "truncated over tcp", "hangs over tcp", "empty", "nxdomain", "loop", "many", "flood", "late",
+)  # fmt: skip
+
+
+@dataclass(slots=True)
+class Zone:
+    """Records by name and type: lifetime in s and their texts. May be shared by several servers."""
+
+    records: dict[tuple[str, str], tuple[int, list[str]]] = field(default_factory=dict)
+    glue: bool = True  # addresses of targets come along
+
+    def put(self, name: str, kind: str, ttl: int, texts: list[str]) -> None:
+        """Set what a name has of a type; none: nothing."""
+        if texts:
+            self.records[name.lower(), kind] = ttl, texts
+        else:
+            self.records.pop((name.lower(), kind), None)
+
+    def serve(self, boxes: dict[str, Address], ttl: int = 2, priority: int = 0) -> None:
+        """Name these boxes, by id, and no others."""
+        for name, kind in [key for key in self.records if key[1] == "A"]:
+            del self.records[name, kind]
+        self.put(SERVICE, "SRV", ttl, [f"{priority} 10 {port} {name}.{ZONE}" for name, (_, port) in boxes.items()])
+        for name, (host, _) in boxes.items():
+            self.put(f"{name}.{ZONE}", "A", ttl, [host])
+
+
+class NameServer:
+    """One server of the zone. how: what it does with each query from now on."""
+
+    def __init__(self, address: Address, zone: Zone, how: str = "good") -> None:
+        self.address = address
+        self.zone = zone
+        self.how = how
+        self.late_s = 1.0
+        self.asked: list[tuple[str, str, str]] = []  # by which way, name as it came, type
+        self._udp: Any = None
+        self._tcp: Any = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self) -> None:
+        """Begin to answer, at one port for both ways. OSError where it is taken."""
+        loop = asyncio.get_running_loop()
+        self._tcp = seam.listen(self.address, KERNEL_BUFFER)
+        self._tcp.listen(64)
+        self.address = self._tcp.getsockname()[:2]
+        self._udp = seam.datagram()
+        self._udp.bind(self.address)
+        loop.add_reader(self._udp, self._datagrams)
+        loop.add_reader(self._tcp, self._accept)
+
+    def close(self) -> None:
+        """End at once."""
+        if self._udp is None:
+            return
+        loop = asyncio.get_running_loop()
+        for sock in (self._udp, self._tcp):
+            loop.remove_reader(sock)
+            sock.close()
+        self._udp = self._tcp = None
+        for task in self._tasks:
+            task.cancel()
+
+    async def run(self) -> None:
+        """Answer until cancelled."""
+        self.listen()
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            self.close()
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _datagrams(self) -> None:
+        while True:
+            try:
+                data, sender = self._udp.recvfrom(65_535)
+            except OSError:
+                return
+            if self.how == "late":
+                asyncio.get_running_loop().call_later(self.late_s, self._send, self.answers(data, False), sender)
+            else:
+                self._send(self.answers(data, False), sender)
+
+    def _send(self, answers: list[bytes], sender: Address) -> None:
+        if self._udp is None:
+            return
+        for answer in answers:
+            with suppress(OSError):
+                self._udp.sendto(answer, sender)
+        if self.how == "forged sender":
+            other = seam.datagram()
+            with suppress(OSError):
+                other.sendto(self._whole(self._asked_last, False), sender)
+            other.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._tcp.accept()
+            except OSError:
+                return
+            self._spawn(self._stream(Stream(sock)))
+
+    async def _stream(self, stream: Stream) -> None:
+        data = b""
+        try:
+            while len(data) < 2 or len(data) < 2 + int.from_bytes(data[:2], "big"):
+                more = await stream.read()
+                if not more:
+                    return
+                data += more
+            if self.how == "hangs over tcp":
+                await asyncio.sleep(30.0)
+            for answer in self.answers(data[2:], True):
+                await stream.write(len(answer).to_bytes(2, "big") + answer)
+            await stream.finish()
+        except OSError:
+            pass
+        finally:
+            stream.close()
+
+    # -- what is answered ----------------------------------------------------------------
+
+    def answers(self, data: bytes, stream: bool) -> list[bytes]:
+        """The messages that go back for a query."""
+        query = dns.message.from_wire(data)
+        question = query.question[0]
+        self.asked.append(("tcp" if stream else "udp", question.name.to_text(), dns.rdatatype.to_text(question.rdtype)))
+        self._asked_last = query
+        how = self.how
+        if how in ("silent", "forged sender"):
+            return []
+        if how == "garbage":
+            return [data[:2] + b"\x81\x80" + data[4:6] + b"\x00\x05" + data[8:] + bytes(range(200))]
+        if how == "flood":
+            return [b"\x00\x01" + data[2:] for _ in range(100)] if not stream else [self._whole(query, stream)]
+        good = self._whole(query, stream)
+        if how == "forged id":
+            return [((query.id + 1) % 65_536).to_bytes(2, "big") + self._false(query)[2:], good]
+        if how == "another question":
+            other = dns.message.make_query("elsewhere.example.org.", "A", id=query.id)
+            return [dns.message.make_response(other).to_wire()]
+        if how == "another case":
+            lower = dns.message.make_query(question.name.to_text().swapcase(), question.rdtype, id=query.id)
+            return [dns.message.make_response(lower).to_wire()]
+        return [good]
+
+    def _false(self, query: dns.message.Message) -> bytes:
+        """A message that names a box which is none."""
+        answer = dns.message.make_response(query)
+        name, kind = query.question[0].name, query.question[0].rdtype
+        text = "0 1 9 forged.example.net." if kind == dns.rdatatype.SRV else "127.9.9.9"
+        answer.answer.append(dns.rrset.from_text(name, 300, "IN", kind, text))
+        return bytes(answer.to_wire())
+
+    def _whole(self, query: dns.message.Message, stream: bool) -> bytes:
+        answer = dns.message.make_response(query)
+        question, how = query.question[0], self.how
+        if how in ("servfail", "refused"):
+            answer.set_rcode(dns.rcode.from_text(how.upper()))
+        elif how == "nxdomain":
+            answer.set_rcode(dns.rcode.NXDOMAIN)
+            self._negative(answer)
+        elif how == "empty":
+            self._negative(answer)
+        elif how == "loop":
+            answer.answer.append(dns.rrset.from_text(question.name, 5, "IN", "CNAME", f"a.{ZONE}"))
+            answer.answer.append(dns.rrset.from_text(f"a.{ZONE}", 5, "IN", "CNAME", f"b.{ZONE}"))
+            answer.answer.append(dns.rrset.from_text(f"b.{ZONE}", 5, "IN", "CNAME", f"a.{ZONE}"))
+        elif how == "many" and stream:
+            texts = [f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}" for n in range(MANY)]
+            answer.answer.append(dns.rrset.from_text(question.name, 5, "IN", "A", *texts))
+        elif how == "many":
+            answer.flags |= dns.flags.TC
+        else:
+            self._records(answer, question.name, question.rdtype)
+        if how in ("truncated", "truncated over tcp") and (not stream or how == "truncated over tcp"):
+            answer.answer.clear()
+            answer.additional.clear()
+            answer.flags |= dns.flags.TC
+        wire = bytes(answer.to_wire(max_size=65_535))
+        if not stream and len(wire) > UDP_MOST:
+            answer.answer.clear()
+            answer.additional.clear()
+            answer.flags |= dns.flags.TC
+            wire = bytes(answer.to_wire())
+        return wire
+
+    def _records(self, answer: dns.message.Message, asked: dns.name.Name, kind: dns.rdatatype.RdataType) -> None:
+        name: Optional[str] = asked.to_text().lower()
+        shown = asked.to_text()
+        for _ in range(16):
+            assert name is not None
+            found = self.zone.records.get((name, dns.rdatatype.to_text(kind)))
+            if found is not None:
+                answer.answer.append(dns.rrset.from_text(shown, found[0], "IN", kind, *found[1]))
+                if kind == dns.rdatatype.SRV and self.zone.glue:
+                    self._glue(answer, found[1])
+                return
+            alias = self.zone.records.get((name, "CNAME"))
+            if alias is None:
+                break
+            answer.answer.append(dns.rrset.from_text(shown, alias[0], "IN", "CNAME", alias[1][0]))
+            name = shown = alias[1][0].lower()
+        if not answer.answer:
+            if not any(known == name for known, _ in self.zone.records):
+                answer.set_rcode(dns.rcode.NXDOMAIN)
+            self._negative(answer)
+
+    def _glue(self, answer: dns.message.Message, texts: list[str]) -> None:
+        for text in texts:
+            target = text.split()[3].lower()
+            for kind in ("A", "AAAA"):
+                found = self.zone.records.get((target, kind))
+                if found is not None:
+                    answer.additional.append(dns.rrset.from_text(target, found[0], "IN", kind, *found[1]))
+
+    @staticmethod
+    def _negative(answer: dns.message.Message) -> None:
+        answer.authority.append(dns.rrset.from_text(ZONE, 60, "IN", "SOA", SOA))
--- /dev/null
+++ b/tests/sources/test_message.py
@@ -0,0 +1,137 @@
+"""DNS messages: what is an answer, and that no bytes bring anything but the named errors."""
+
+from __future__ import annotations
+
+import random
+
+import dns.message
+import dns.rrset
+import pytest
+
+from corkshift.sources.message import MOST_RECORDS, Answer, Foreign, Query, Service, Truncated, Unusable, query, read
+from testbed.systems.dns import SERVICE, ZONE, NameServer, Zone
+
+MUTATIONS = 4_000  # `python -m benchmarks.membership --mutations 1000000` is the long form
+
+
+def asked(name: str = SERVICE, kind: str = "SRV") -> Query:
+    return query(name, kind, 4711, 0b1010110)
+
+
+def answered(how: str = "good", name: str = SERVICE, kind: str = "SRV", zone: Zone | None = None, stream: bool = False) -> bytes:
+    if zone is None:
+        zone = Zone()
+        zone.serve({"s0": ("10.0.0.1", 8001), "s1": ("10.0.0.2", 8002)}, ttl=30)
+    return NameServer(("127.0.0.1", 53), zone, how).answers(asked(name, kind).wire, stream)[0]
+
+
+def test_records_and_the_addresses_that_come_along() -> None:
+    answer = read(answered(), asked())
+    assert answer.ttl_s == 30 and answer.exists
+    assert set(answer.services) == {Service(0, 10, 8001, f"s0.{ZONE}"), Service(0, 10, 8002, f"s1.{ZONE}")}
+    assert answer.extra == {f"s0.{ZONE}": (30, ("10.0.0.1",)), f"s1.{ZONE}": (30, ("10.0.0.2",))}
+
+
+def test_the_question_is_asked_in_drawn_case_and_checked_by_it() -> None:
+    one = asked()
+    assert one.name.to_text() != SERVICE and one.name.to_text().lower() == SERVICE
+    with pytest.raises(Foreign):
+        read(answered("another case"), one)
+
+
+@pytest.mark.parametrize("how", ["another question", "forged id"])
+def test_what_is_no_answer_to_the_query_is_foreign(how: str) -> None:
+    with pytest.raises(Foreign):
+        read(answered(how), asked())
+
+
+@pytest.mark.parametrize(
+    ("how", "words"), [("servfail", "SERVFAIL"), ("refused", "REFUSED"), ("garbage", "readable"), ("loop", "loop")]
+)
+def test_what_is_of_no_use_says_why(how: str, words: str) -> None:
+    with pytest.raises(Unusable, match=words):
+        read(answered(how), asked())
+
+
+def test_truncation_is_told_once_and_never_over_tcp() -> None:
+    with pytest.raises(Truncated):
+        read(answered("truncated"), asked())
+    with pytest.raises(Unusable, match="truncated over TCP"):
+        read(answered("truncated over tcp"), asked(), stream=True)
+
+
+def test_more_records_than_are_read_are_refused_before_they_are_parsed() -> None:
+    wire = answered("many", kind="A", stream=True)
+    with pytest.raises(Unusable, match=f"4001 records, at most {MOST_RECORDS}"):
+        read(wire, asked(kind="A"), stream=True)
+
+
+@pytest.mark.parametrize(("how", "exists"), [("empty", True), ("nxdomain", False)])
+def test_a_negative_answer_holds_as_long_as_its_soa_says(how: str, exists: bool) -> None:
+    assert read(answered(how), asked()) == Answer(5, exists=exists)
+
+
+def test_aliases_are_followed_with_the_shortest_lifetime_and_end_somewhere() -> None:
+    zone = Zone()
+    zone.put("a.cache.example.org.", "CNAME", 7, ["b.cache.example.org."])
+    zone.put("b.cache.example.org.", "A", 90, ["10.0.0.9"])
+    answer = read(answered(name="a.cache.example.org.", kind="A", zone=zone), asked("a.cache.example.org.", "A"))
+    assert (answer.ttl_s, answer.addresses) == (7, ("10.0.0.9",))
+    one = asked("a.cache.example.org.", "A")
+    message = dns.message.make_response(dns.message.from_wire(one.wire))
+    message.answer.append(dns.rrset.from_text(one.name, 7, "IN", "CNAME", "elsewhere.example.net."))
+    assert read(message.to_wire(), one) == Answer(7, alias="elsewhere.example.net.")
+    for n in range(10):
+        zone.put(f"c{n}.{ZONE}", "CNAME", 7, [f"c{n + 1}.{ZONE}"])
+    with pytest.raises(Unusable, match="over 8 CNAMEs"):
+        read(answered(name=f"c0.{ZONE}", kind="A", zone=zone), asked(f"c0.{ZONE}", "A"))
+
+
+def test_addresses_of_others_and_of_the_other_family_are_not_taken() -> None:
+    zone = Zone()
+    zone.serve({"s0": ("10.0.0.1", 8001)})
+    zone.put(f"s0.{ZONE}", "AAAA", 5, ["::1", "::2"])
+    one = asked()
+    message = dns.message.from_wire(answered(zone=zone))
+    message.additional.append(dns.rrset.from_text("bank.example.net.", 300, "IN", "A", "10.6.6.6"))
+    answer = read(message.to_wire(), one)
+    assert set(answer.extra) == {f"s0.{ZONE}"} and answer.foreign_family == 2
+
+
+@pytest.mark.parametrize("name", ["", "a..b", "x" * 64 + ".org", ".".join(["abcdefg"] * 40)])
+def test_what_is_no_name_is_a_value_error(name: str) -> None:
+    if name:
+        with pytest.raises(ValueError, match="no DNS name"):
+            query(name, "A", 1, 0)
+
+
+def test_mutated_messages_bring_the_named_errors_alone() -> None:
+    rng, seeds = random.Random(5), [answered(), answered("empty"), answered("loop"), answered(kind="A", name=f"s0.{ZONE}")]
+    asks = [asked(), asked(), asked(), asked(f"s0.{ZONE}", "A")]
+    taken = 0
+    for n in range(MUTATIONS):
+        data = mutated(rng, seeds[n % 4])
+        try:
+            taken += isinstance(read(data, asks[n % 4], stream=bool(n & 4)), Answer)
+        except (Foreign, Truncated, Unusable):
+            pass
+    assert taken > MUTATIONS // 50  # else it would be the header alone that is looked at
+
+
+def mutated(rng: random.Random, data: bytes) -> bytes:
+    """A message with bytes changed, cut out, doubled or added; the header mostly kept, so that what follows is read."""
+    text = bytearray(data)
+    for _ in range(rng.choice((1, 1, 2, 4, 8))):
+        at = rng.randrange(2 if rng.random() < 0.1 else 12, len(text)) if len(text) > 12 else 0
+        way = rng.randrange(5)
+        if way == 0 and text:
+            text[at] = rng.randrange(256)
+        elif way == 1 and text:
+            text[at] ^= 1 << rng.randrange(8)
+        elif way == 2:
+            del text[at : at + rng.randrange(1, 20)]
+        elif way == 3:
+            text[at:at] = text[at : at + rng.randrange(1, 30)]
+        else:
+            text[at:at] = rng.randbytes(rng.randrange(1, 20))
+    return bytes(text)
--- /dev/null
+++ b/tests/sources/test_sources.py
@@ -0,0 +1,317 @@
+"""A node's sources put together, over the virtual network: what the address book and the module are told."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from virtual import BOXES, Lab, play
+
+from corkshift import seam
+from corkshift.config import address_of
+from corkshift.sources.hub import LOOK_S, Sources
+from corkshift.sources.options import DnsTable, FileTable, GuardTable, SourcesTable
+from corkshift.upstream import CacheServer
+from forkweir import Server
+from forkweir.known.groups import RETURN_MS
+from testbed.systems.dns import SERVICE, ZONE
+
+FILE = b'[[box]]\naddress = "127.2.0.99:8001"\nname = "spare"\n'
+
+
+class Node:
+    """As much of a node as sources know; what the module would have."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, CacheServer] = {}
+        self.told: list[tuple[str, list[Server]]] = []
+        self.module: dict[str, Server] = {}
+        self.down: set[str] = set()
+        self.forgotten: list[str] = []
+
+    def usable(self, name: str) -> bool:
+        return name not in self.down
+
+    def on_list(self, form: str, entries: Iterable[Server]) -> None:
+        entries = list(entries)
+        self.told.append((form, entries))
+        for entry in entries:
+            self.module[entry.name] = entry
+            if entry.state == "gone":
+                del self.module[entry.name]
+
+    @property
+    def serving(self) -> set[str]:
+        assert self.module.keys() == self.servers.keys()
+        for name, entry in self.module.items():
+            assert (self.servers[name].leaving_ms is None) == (entry.state == "in")
+        return {name for name, entry in self.module.items() if entry.state == "in"}
+
+
+class Discovery:
+    """What `corkshift.discovery` does to the address book that it is given."""
+
+    def __init__(self, sources: Sources) -> None:
+        self.box_list = sources.box_list
+
+    def tell(self, form: str, *entries: tuple[str, str], to: dict[str, Any] | None = None) -> None:
+        places = to or BOXES
+        book = self.box_list.servers
+        if form in ("full", "saved"):
+            for name in book.keys() - {name for name, _ in entries}:
+                del book[name]
+        servers = []
+        for name, state in entries:
+            servers.append(Server(name, state=state))
+            if state == "gone":
+                book.pop(name, None)
+                continue
+            book[name] = CacheServer(name, places[name], 1.0 if state == "draining" else None)
+        self.box_list.on_list(form, servers)
+
+
+def made(lab: Lab, **more: Any) -> tuple[Node, Sources, Discovery]:
+    node = Node()
+    pool: Any = SimpleNamespace(forget=lambda server: node.forgotten.append(server.name))
+    resolvers = [f"{host}:{port}" for host, port in lab.addresses]
+    options = SourcesTable(dns=DnsTable(service=SERVICE, resolvers=resolvers, ceiling_s=4.0), **more)
+    sources = Sources(node, pool, options, 1)  # type: ignore[arg-type]
+    sources.start()
+    return node, sources, Discovery(sources)
+
+
+def test_dns_alone_serves_and_the_lists_ids_take_over() -> None:
+    async def test(lab: Lab) -> None:
+        node, sources, discovery = made(lab)
+        await asyncio.sleep(0.1)
+        assert node.serving == {f"{host}:{port}" for host, port in BOXES.values()}
+        discovery.tell("full", *((name, "in") for name in BOXES))
+        assert node.serving == set(BOXES) and {server.address for server in node.servers.values()} == set(BOXES.values())
+        sources.close()
+
+    play(test)
+
+
+def test_a_drain_of_the_list_is_heeded_at_once_while_dns_names_the_box_on() -> None:
+    async def test(lab: Lab) -> None:
+        node, sources, discovery = made(lab)
+        await asyncio.sleep(0.1)
+        discovery.tell("full", *((name, "in") for name in BOXES))
+        discovery.tell("changes", ("s1", "draining"))
+        assert node.serving == {"s0", "s2", "s3"} and node.forgotten[-1] == "s1"
+        discovery.tell("changes", ("s1", "gone"))
+        await asyncio.sleep(10.0)
+        assert node.serving == {"s0", "s2", "s3"} and "s1" not in node.servers and lab.servers[0].asked
+        sources.close()
+
+    play(test)
+
+
+def test_boxes_that_only_one_source_names_are_served_beside_each_other() -> None:
+    async def test(lab: Lab) -> None:
+        lab.zone.serve({"s0": BOXES["s0"], "x": ("127.2.0.77", 8001)})
+        node, sources, discovery = made(lab)
+        discovery.tell("full", ("s0", "in"), ("s1", "in"))
+        await asyncio.sleep(0.1)
+        assert node.serving == {"s0", "s1", "127.2.0.77:8001"}
+        sources.close()
+
+    play(test)
+
+
+@pytest.mark.parametrize("how", ["empty", "nxdomain", "silent", "refused", "garbage"])
+def test_records_that_are_gone_or_can_not_be_had_leave_the_set_as_it_is(how: str) -> None:
+    async def test(lab: Lab) -> None:
+        node, sources, _ = made(lab)
+        await asyncio.sleep(0.1)
+        for server in lab.servers:
+            server.how = how
+        for _ in range(60):
+            await asyncio.sleep(2.0)
+            assert len(node.serving) == len(BOXES)
+        for server in lab.servers:
+            server.how = "good"
+        lab.zone.serve({"s9": ("127.2.0.9", 8001)})
+        await asyncio.sleep(60.0)
+        assert node.serving == {"127.2.0.9:8001"}
+        sources.close()
+
+    play(test)
+
+
+def test_the_root_as_target_means_not_offered_here() -> None:
+    async def test(lab: Lab) -> None:
+        node, sources, discovery = made(lab)
+        discovery.tell("full", ("s0", "in"))
+        await asyncio.sleep(0.1)
+        lab.zone.put(SERVICE, "SRV", 2, ["0 0 0 ."])
+        await asyncio.sleep(60.0)
+        assert node.serving == {"s0"}
+        sources.close()
+
+    play(test)
+
+
+def test_the_known_list_serves_where_no_source_is_alive_and_yields_to_one_that_is() -> None:
+    async def test(lab: Lab) -> None:
+        for server in lab.servers:
+            server.how = "silent"
+        node, sources, discovery = made(lab)
+        discovery.tell("saved", ("s0", "in"), ("s1", "in"))
+        discovery.box_list.on_list("failed", [])
+        assert node.serving == {"s0", "s1"} and [form for form, _ in node.told if form in ("saved", "failed")] == ["saved", "failed"]
+        await asyncio.sleep(5.0)
+        assert node.serving == {"s0", "s1"}
+        discovery.tell("full", ("s2", "in"))
+        assert node.serving == {"s2"}
+        sources.close()
+
+    play(test)
+
+
+def test_a_lower_group_comes_in_when_the_higher_can_not_serve_and_leaves_again() -> None:
+    async def test(lab: Lab) -> None:
+        lab.zone.put(SERVICE, "SRV", 2, [f"{10 * (1 + n // 2)} 10 8001 s{n}.{ZONE}" for n in range(4)])
+        node, sources, _ = made(lab)
+        await asyncio.sleep(0.1)
+        first, second = ({f"{BOXES[f's{n}'][0]}:8001" for n in pair} for pair in ((0, 1), (2, 3)))
+        assert node.serving == first
+        node.down = first
+        await asyncio.sleep(2 * LOOK_S)
+        assert node.serving == first | second
+        node.down = set()
+        await asyncio.sleep(RETURN_MS / 2000.0)
+        assert node.serving == first | second
+        await asyncio.sleep(RETURN_MS / 1000.0)
+        assert node.serving == first
+        sources.close()
+
+    play(test)
+
+
+def test_weights_are_those_of_rfc_2782_over_their_groups_mean() -> None:
+    async def test(lab: Lab) -> None:
+        lab.zone.put(SERVICE, "SRV", 2, [f"0 {weight} 8001 s{n}.{ZONE}" for n, weight in enumerate((30, 10, 20, 0))])
+        node, sources, _ = made(lab)
+        await asyncio.sleep(0.1)
+        weights = [node.module[f"{host}:{port}"].weight for host, port in BOXES.values()]
+        assert weights == pytest.approx([2.0, 2 / 3, 4 / 3, 0.05])
+        sources.close()
+
+    play(test)
+
+
+def test_an_address_that_moves_from_one_name_to_another_stays_in_service() -> None:
+    async def test(lab: Lab) -> None:
+        node, sources, _ = made(lab)
+        await asyncio.sleep(0.1)
+        before = len(node.told)
+        lab.zone.serve({f"renamed-{name}": address for name, address in BOXES.items()})
+        await asyncio.sleep(10.0)
+        assert len(node.serving) == len(BOXES) and len(node.told) == before
+        sources.close()
+
+    play(test)
+
+
+def test_targets_without_addresses_along_are_looked_up_and_one_that_fails_is_not_gone() -> None:
+    async def test(lab: Lab) -> None:
+        lab.zone.glue = False
+        node, sources, _ = made(lab)
+        await asyncio.sleep(0.2)
+        assert len(node.serving) == len(BOXES)
+        assert {kind for server in lab.servers for _, _, kind in server.asked} == {"SRV", "A"}
+        lab.zone.put(f"s2.{ZONE}", "CNAME", 2, [f"s2.{ZONE}"])
+        lab.zone.put(f"s2.{ZONE}", "A", 2, [])
+        await asyncio.sleep(20.0)
+        assert len(node.serving) == len(BOXES)
+        sources.close()
+
+    play(test)
+
+
+def test_a_reload_moves_to_other_resolvers_in_the_middle_of_a_query() -> None:
+    async def test(lab: Lab) -> None:
+        for server in lab.servers[:2]:
+            server.how = "silent"
+        node, sources, _ = made(lab)
+        assert sources.dns is not None and node is not None
+        options = replace_dns(sources, resolvers=[f"{lab.addresses[2][0]}:53"])
+        first = replace_dns(sources, resolvers=[f"{host}:53" for host, _ in lab.addresses[:2]])
+        sources.reload(first)
+        await asyncio.sleep(0.2)  # the first query is out
+        assert not node.servers
+        sources.reload(options)
+        await asyncio.sleep(0.05)
+        assert len(node.serving) == len(BOXES)
+        sources.close()
+
+    play(test, servers=3)
+
+
+def replace_dns(sources: Sources, **changes: Any) -> SourcesTable:
+    import msgspec
+
+    options = sources._options
+    assert options.dns is not None
+    return msgspec.structs.replace(options, dns=msgspec.structs.replace(options.dns, **changes))
+
+
+def test_a_file_of_known_boxes_serves_while_nothing_else_does_and_a_bad_one_changes_nothing() -> None:
+    async def test(lab: Lab) -> None:
+        side = seam.SIDE.get()
+        files: dict[str, bytes] = side.files  # type: ignore[attr-defined]
+        files["boxes.toml"] = FILE
+        for server in lab.servers:
+            server.how = "silent"
+        node, sources, discovery = made(lab, file=FileTable(path="boxes.toml"))
+        assert node.serving == {"spare"}
+        files["boxes.toml"] = FILE + b"[[box]]\naddress = 5\n"
+        sources.reload(sources._options)
+        assert node.serving == {"spare"} and b"box[1].address" in sources.dump()
+        files["boxes.toml"] = FILE.replace(b"spare", b"other")
+        sources.reload(sources._options)
+        assert node.serving == {"other"}
+        discovery.tell("full", ("s0", "in"))
+        assert node.serving == {"s0"}
+        sources.close()
+
+    play(test)
+
+
+def test_what_the_view_says_and_that_a_fall_is_told_in_it() -> None:
+    async def test(lab: Lab) -> None:
+        import orjson
+
+        node, sources, discovery = made(lab, guard=GuardTable(hold_s=5.0))
+        await asyncio.sleep(0.1)
+        discovery.tell("full", *((name, "in") for name in BOXES))
+        lab.zone.serve({})
+        discovery.tell("full", ("s0", "in"))
+        view = orjson.loads(sources.dump())
+        assert [source["name"] for source in view["sources"]] == ["list", "dns", "known"]
+        assert {box["rule"] for box in view["boxes"]} == {"agreed", "held: fall"}
+        assert address_of(view["boxes"][0]["address"]) == BOXES["s0"] and view["boxes"][0]["said"] == {"list": "in", "dns": "in"}
+        assert view["resolver"]["queries"] >= 1 and node.serving == set(BOXES)
+        await asyncio.sleep(60.0)
+        assert node.serving == {"s0"}
+        sources.close()
+
+    play(test)
+
+
+def test_options_that_can_not_be_are_named() -> None:
+    from corkshift.cli.operator import BadOperatorFile, parse
+
+    text = '[sources.dns]\nservice = "a..b"\nresolvers = ["ns.example:53"]\nfloor_s = 9.0\nceiling_s = 1.0\nmay = ["fly"]\n'
+    with pytest.raises(BadOperatorFile) as caught:
+        parse(b"format = 1\n" + text.encode(), "op.toml")
+    assert [fault.path for fault in caught.value.faults] == ["sources.dns.may[0]"]
+    with pytest.raises(BadOperatorFile) as caught:
+        parse(b"format = 1\n" + text.replace("fly", "add").encode(), "op.toml")
+    assert [fault.path for fault in caught.value.faults] == ["sources.dns.resolvers[0]", "sources.dns.floor_s", "sources.dns.service"]
+
+
