Nights on which nodes ask DNS too and sources fail and disagree; two rules more

Need: the merge has to hold over time and failures, not only in its own tests.

Rules: a node's set is never empty while any source named a box that the list did not take away; nothing is dialed that no source named. What the list said to be gone by name no longer comes back by DNS that drops it and names it again.

--- a/forkweir/known/membership.py
+++ b/forkweir/known/membership.py
@@ -13,8 +13,9 @@
     fallback X      X counts only while nothing else is in service
 
 A drain, and a box that is said to be gone by name, are never held: the rule on drains goes before every guard. What is held is what a
-source does not name any more. A removal by X holds against worse ranks only, only where X may remove, and until they name the box anew or
-TOMB_MS have passed. A source that failed or is stale keeps its boxes and its drains, and loses its say in weights.
+source does not name any more. A removal by X holds against worse ranks only, only where X may remove, and until they name the box anew
+(not where X said so by name: a drained box that DNS drops and names again is still gone) or TOMB_MS have passed. A source that failed or
+is stale keeps its boxes and its drains, and loses its say in weights.
 
 The fall guard is that of Envoy's panic threshold and of Consul's and Eureka's self-preservation, per source; the damping of flaps is that
 of RFC 2439 with the sense turned round: a flapping box is kept, as what is kept wrongly costs one refused dial (health avoids it then),
@@ -261,7 +262,7 @@
 
     def _box(self, address: Address, names: list[str], now: float, last: bool, taken: set[str]) -> Optional[Box]:
         says: list[tuple[str, Claim, float, str]] = []  # source, claim, since, how
-        removed: Optional[tuple[int, float]] = None  # by the best rank that removed it: rank, when
+        removed: Optional[tuple[int, float]] = None  # by the best rank that removed it: rank, until when naming it was before that
         drained = next((n for n, v in self._views.items() if v.rights.drain and _state(v, address) == "draining"), "")  # whoever counts
         for name in names:  # best first
             view = self._views[name]
@@ -275,7 +276,7 @@
                 if removed is None:
                     says.append((name, held.claim, held.since, f"held: {held.why if held.until > now else 'last'}"))
             elif view.rights.remove and address in view.tombs and removed is None:
-                removed = view.rights.rank, view.tombs[address]
+                removed = view.rights.rank, float("inf") if address in view.by_name else view.tombs[address]
         if not any(self._views[name].rights.add for name, *_ in says):
             return None
         source, first, since, how = says[0]
--- a/testbed/nights/rules.py
+++ b/testbed/nights/rules.py
@@ -8,18 +8,24 @@
 5. No cold server is pushed over: the work sent to it stays within the budget of its present capacity.
 6. The node's own books agree with its sockets after every step, and all are empty at the end.
 
+Where nodes have further sources, also:
+
+7. A node's set is never empty while any source named a box that the list did not say drains or is gone.
+8. Nothing is dialed that no source ever named.
+
 The witness sees only what a stand-in, a client or the network's wire shows; the books are read in the node itself.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Optional
 
 from corkshift.discovery import FADING_MOST
 from corkshift.service import Service
+from corkshift.sources.dns import AT_ONCE
 from testbed.machine.net import VirtualSocket
 from testbed.machine.parts import Owner
 from testbed.systems.clients import Ask, Observer
@@ -33,6 +39,7 @@
 CHANCE = 1.3  # slack for chance in the cold budget
 STILL_US = 60_000  # after a request's end nothing of it is out any more
 CROSSED_US = 20_000  # what is on the way while word of an end comes (over a slow link it waits its turn)
+SOURCES_TIMERS = 2 + AT_ONCE  # of further sources: the next round, the next look, and look-ups that are out
 IDLE_TIMERS = 8  # of a node that has nothing to do: its sweeps, its look at what is out, its call to discovery
 
 
@@ -90,6 +97,8 @@
         self._left_out: dict[tuple[Owner, str], int] = {}  # (node, address): since when it may get nothing new
         self._listed: dict[Owner, set[str]] = {}  # of a node: the addresses that it was told are in service
         self._started: set[tuple[Owner, str]] = set()  # (node, host of a server): the node was told that it started lately
+        self._ever: dict[Owner, set[str]] = {}  # of a node: the addresses that its list ever named in service
+        self._named: set[str] = set()  # and those that DNS did
         self._heads: dict[VirtualSocket, bytearray] = {}
         self._work: dict[str, deque[tuple[int, float, bool]]] = {}
         self._dialed: dict[Owner, int] = {}
@@ -228,6 +237,7 @@
         """A node starts with the list as it last was."""
         self.nodes[process.host] = process
         self._listed[process] = {str(entry["hostPort"]) for entry in known if entry["lifecycle"] == "in_service"}
+        self._ever[process] = set(self._listed[process])
 
     def told(self, node: str, entries: list[dict[str, object]], full: bool, sound: bool = True) -> None:
         now = self._now()
@@ -244,6 +254,7 @@
                 self._left_out.pop((process, address), None)
                 there.add(address)
                 listed.add(address)
+                self._ever[process].add(address)
                 known = process, address.partition(":")[0]
                 if not sound:
                     continue  # whoever reads such a line must not build on it, and may
@@ -260,6 +271,23 @@
                 self._left_out.setdefault((process, address), now)
                 self._note(f"{process.name} is told that {entry['instanceId']} is {entry['lifecycle']}")
 
+    # -- further sources -----------------------------------------------------------------
+
+    def named(self, addresses: Iterable[str]) -> None:
+        """DNS names these from now on."""
+        self._named.update(addresses)
+
+    def never_empty(self) -> None:
+        """Rule 7, of every node that has further sources and has begun."""
+        for process, service in self.services.items():
+            if service.sources is None or not process.running or not service.node.informed:
+                continue
+            if any(server.leaving_ms is None for server in service.node.servers.values()):
+                continue
+            left = [address for address in self._ever[process] if (process, address) not in self._left_out]
+            if left:
+                self.broken("never empty", f"{process.name} has no server in service though {min(left)} was never taken away")
+
     # -- the wire ------------------------------------------------------------------------
 
     def wire(self, sock: VirtualSocket, piece: bytes, asked: int) -> None:
@@ -305,6 +333,10 @@
         process = sock.process
         if process is None or process not in self.services:
             return
+        if what == "dial" and not sock.remote[0].startswith(("127.4.", "127.6.")):
+            address = f"{sock.remote[0]}:{sock.remote[1]}"
+            if address not in self._named and address not in self._ever[process]:
+                self.broken("only who is named", f"{process.name} dials {address}")
         if what == "dial" and sock.remote[0] in self.boxes:
             self._dialed[process] = self._dialed.get(process, 0) + 1
         elif what in ("close", "abort") and sock.dialed and sock.remote[0] in self.boxes:
@@ -328,7 +360,8 @@
     def timers_at_rest(self, timers: dict[Owner, int]) -> None:
         """Shortly after the last answer no timer of a request is left. timers: how many each process has."""
         for process in self.services:
-            if process.state == "running" and timers.get(process, 0) > IDLE_TIMERS:
+            most = IDLE_TIMERS + (SOURCES_TIMERS if self.services[process].sources is not None else 0)
+            if process.state == "running" and timers.get(process, 0) > most:
                 self.broken("books", f"{process.name} at rest holds {timers[process]} timers")
 
     def at_rest(self, timers: dict[Owner, int]) -> None:
@@ -338,6 +371,7 @@
             if process.state != "running":
                 continue
             node = service.node
+            more = 0 if service.sources is None else 1 + AT_ONCE
             left = {
                 "requests": len(node._calls),
                 "tries": len(node._tries),
@@ -346,7 +380,7 @@
                 "bytes of bodies": service.frontend.budget.used,
                 "client connections": len(service.frontend._connections),
                 # A watch that lost something is read on until another has told a line: its next call may be due after the end (10101004).
-                "tasks over the usual": max(0, len(process.pending()) - 2 - min(FADING_MOST, len(service.discovery._fading))),
+                "tasks over the usual": max(0, len(process.pending()) - 2 - min(FADING_MOST, len(service.discovery._fading)) - more),
                 "connections in use": service.pool.open - len(service.pool._resting),
             }
             for what, count in left.items():
--- a/testbed/nights/script.py
+++ b/testbed/nights/script.py
@@ -23,12 +23,14 @@
     "discovery_wrong", "discovery_down", "book_slow", "book_down", "clock_jump", "rude",
     "box_lie", "flush", "load_step",
     "discovery_spoil", "discovery_refuse", "discovery_mute", "discovery_drop",
+    "dns_how", "dns_stale", "dns_odd",
 ]  # fmt: skip
 DRAWN: tuple[Kind, ...] = Kind.__args__[:30]  # type: ignore[attr-defined]  # of every night; the others come with hard nights alone
 MISSED: tuple[Kind, ...] = ("discovery_refuse", "discovery_mute", "discovery_down", "discovery_drop", "discovery_silent")
 HARD_FROM = 20_001  # nights drawn from this seed on are hard ones,
 TOLD_FROM = 10_000_001  # and from this one on nights on which discovery spoils what it tells,
 PAIRED_FROM = 10_100_001  # of which these lose a line while the watch has already lost something, or stands in the middle of a line
+SOURCED_FROM = 20_000_001  # and from this one on nights on which nodes ask DNS too, and sources fail and disagree
 HALF_A_LINE, NO_LIST = 7.0, 0.0  # values of discovery_wrong
 FRAMING = 5  # of the ways to spoil a line (`standins.SPOIL_HOWS`)
 TARGETS: dict[str, str] = {
@@ -60,6 +62,7 @@
     descriptors: Annotated[int, msgspec.Meta(ge=32, le=65_536)] = 256
     worths: Literal["equal", "site"] = "equal"  # of the classes: all the same, or as the brief has them
     ask_within_ms: Annotated[float, msgspec.Meta(gt=0.0, le=60_000.0)] = 2_000.0  # how long a node may go without discovery
+    sources: Literal["list", "dns"] = "list"  # what nodes learn of boxes from: the box list alone, or DNS SRV beside it
 
 
 class Fault(Table, frozen=True, kw_only=True):
@@ -118,7 +121,30 @@
 
 def draw(seed: int) -> Script:
     """The script of a seed: a small world with up to seven faults that overlap; others from HARD_FROM and TOLD_FROM on."""
-    return _draw_night(seed) if seed < HARD_FROM else _draw_hard(seed) if seed < TOLD_FROM else _draw_told(seed)
+    return _draw_night(seed) if seed < HARD_FROM else _draw_hard(seed) if seed < TOLD_FROM else _draw_later(seed)
+
+
+def _draw_later(seed: int) -> Script:
+    return _draw_told(seed) if seed < SOURCED_FROM else _draw_sourced(seed)
+
+
+def _draw_sourced(seed: int) -> Script:
+    """A night of any other kind on which nodes ask DNS too: its servers fail, it names what is gone, and not what is there."""
+    rng = random.Random(f"sourced/{seed}")
+    base = rng.choice((_draw_night, _draw_told, _draw_told, _draw_hard))(seed)
+    world = msgspec.structs.replace(base.world, sources="dns", seconds=max(3.0, base.world.seconds))
+    faults = list(base.fault)
+    for _ in range(rng.choice((1, 2, 3, 4))):
+        kind: Kind = rng.choice(("dns_how", "dns_how", "dns_stale", "dns_odd"))
+        at, for_ms = rng.uniform(20.0, world.seconds * 900.0), float(rng.choice((300, 1_000, 2_500)))
+        faults.append(Fault(at_ms=round(at, 3), kind=kind, target=rng.randrange(3), for_ms=for_ms, value=float(rng.randrange(1, 18))))
+    if rng.random() < 0.4:  # discovery is away while boxes die and come back
+        at, kind = rng.uniform(300.0, 1_500.0), rng.choice(("discovery_down", "discovery_silent", "discovery_refuse"))
+        faults.append(Fault(at_ms=round(at, 3), kind=kind, for_ms=1_500.0))
+        for box in rng.sample(range(world.boxes), rng.randint(1, world.boxes)):
+            at_ms = round(at + rng.uniform(0.0, 300.0), 3)
+            faults.append(Fault(at_ms=at_ms, kind=rng.choice(("box_kill", "box_rename", "box_drain")), target=box, for_ms=600.0))
+    return Script(world=world, fault=sorted(faults, key=lambda fault: fault.at_ms))
 
 
 def _draw_told(seed: int) -> Script:
--- a/testbed/nights/simulation.py
+++ b/testbed/nights/simulation.py
@@ -16,6 +16,7 @@
 from corkshift import seam
 from corkshift.config import load
 from corkshift.service import Service
+from corkshift.sources.options import DnsTable, SourcesTable
 from testbed.machine.loop import Deadlock, Livelock, VirtualLoop, owner_of
 from testbed.machine.net import Network, Trip, VirtualSocket
 from testbed.machine.parts import Owner
@@ -24,6 +25,7 @@
 from testbed.nights.rules import Failure, Rules
 from testbed.nights.script import Fault, Script, draw
 from testbed.systems.clients import CLASSES, RUDE, SITE_CLASSES, Ask, Class, Clients, Figures, settings
+from testbed.systems.dns import HOWS, SERVICE, NameServer, Zone
 from testbed.systems.serving import Connection, Server
 from testbed.systems.standins import SPOIL_HOWS, SPOILS, SPOILT_BY, BoxSpec, CacheBox, OrderBook, Registry, Spoil, work_of
 
@@ -33,7 +35,10 @@
 ADD_S = 0.5  # or that one has started
 FRONT_S = 0.8  # until the front knows that a node has died
 SAMPLE_US = 10_000  # between two looks at what boxes and order book can do, for the oracle
+DNS_S = 1.2  # until DNS has heard of either
 NODE_PORT, BOX_PORT = 8000, 8001
+ODD = "127.2.0.99"  # where no box is
+RESOLVERS = (("127.6.0.1", 53), ("127.6.0.2", 53))
 
 
 @dataclass(slots=True)
@@ -149,6 +154,9 @@
         self.demands: list[Demand] = []
         self.supply = Supply()
         self._sample_us = 0
+        self.zone = Zone()
+        self.resolvers = [NameServer(address, self.zone) for address in RESOLVERS]
+        self._zone_stale = False
         self.front = self._process("clients", "127.5.0.1")
         self.book = OrderBook(("127.3.0.1", 8002), 8, 15.0)
         loop.set_exception_handler(self._exception)
@@ -165,6 +173,7 @@
         if self.loop.now_us >= self._sample_us:
             self._sample_us = self.loop.now_us + SAMPLE_US
             self._sample()
+            self.rules.never_empty()
 
     def _sample(self) -> None:
         work, now_ms = 0.0, EPOCH_MS + self.loop.now_us / 1000.0
@@ -209,8 +218,13 @@
         process.files["config.json"] = json.dumps(config).encode()
         process.variables["PROXY_CONFIG"] = "config.json"
 
+        sources: Optional[SourcesTable] = None
+        if w.sources == "dns":
+            names = [f"{host}:{port}" for host, port in RESOLVERS]
+            sources = SourcesTable(dns=DnsTable(service=SERVICE, resolvers=names, floor_s=0.3, ceiling_s=2.0))
+
         async def program() -> None:
-            service = Service(load(seam.environ()))
+            service = Service(load(seam.environ()), sources)
             self.rules.services[process] = service
             await service.run()
 
@@ -239,6 +253,7 @@
         self.rules.boxes[address[0]] = name
         self.book.voids.append(box.void)
         process.start(box.run)
+        self._dns_later()
         self.trace.note(f"{name} starts at {address[0]}{' cold' if cold else ''}")
 
     def _serve(self, name: str, server: Server) -> Process:
@@ -289,6 +304,11 @@
             registry = _Registry((f"127.4.0.{n + 1}", 8500), self.rules, self.entries)
             self.registries.append(registry)
             self._serve(f"discovery{n}", registry)
+        if w.sources == "dns":
+            self._name_boxes()
+            for server in self.resolvers:
+                process = self._process(f"dns-{server.address[0]}", server.address[0])
+                process.start(server.run)
         for n in range(w.nodes):
             self.start_node(n)
         await asyncio.sleep(0.05)
@@ -318,6 +338,46 @@
     async def _ask(self) -> None:
         await self.clients.run(self.script.world.seconds)
 
+    # -- DNS -----------------------------------------------------------------------------
+
+    def _dns_later(self) -> None:
+        """DNS hears of what changed a while later, if it is asked at all."""
+        if self.script.world.sources == "dns" and self.loop.now_us:
+            self.loop.after_us(int(DNS_S * 1e6), self._name_boxes)
+
+    def _name_boxes(self, odd: Optional[str] = None) -> None:
+        """Let DNS name the boxes that run now; odd: and this host, where nobody listens."""
+        if self._zone_stale:
+            return
+        alive = {self._names[n]: (self._box_host(n), BOX_PORT) for n in self.boxes if self.box_processes[n].alive}
+        if odd is not None:
+            alive["odd"] = (odd, BOX_PORT)
+        self.zone.serve(alive, ttl=1)
+        self.rules.named(f"{host}:{port}" for host, port in alive.values())
+        self.trace.note(f"DNS names {' '.join(alive)}")
+
+    def _do_dns_how(self, fault: Fault) -> None:
+        """One name server, or both, are wrong in one of the ways of `HOWS`."""
+        for server in self.resolvers if fault.target == 2 else [self.resolvers[fault.target % 2]]:
+            server.how = HOWS[int(fault.value) % len(HOWS)]
+            self._later(fault, setattr, server, "how", "good")
+
+    def _do_dns_stale(self, fault: Fault) -> None:
+        """DNS hears of nothing."""
+
+        def hear() -> None:
+            self._zone_stale = False
+            self._name_boxes()
+
+        self._zone_stale = True
+        self._later(fault, hear)
+
+    def _do_dns_odd(self, fault: Fault) -> None:
+        """DNS names a box that is none."""
+        self.rules.boxes[ODD] = "odd"
+        self._name_boxes(ODD)
+        self._later(fault, self._name_boxes)
+
     # -- faults --------------------------------------------------------------------------
 
     def _fault(self, fault: Fault) -> None:
@@ -348,6 +408,7 @@
         if not process.alive:
             return
         process.kill()
+        self._dns_later()
         self.trace.note(f"{box.name} dies")
         self.loop.after_us(int(NOTICE_S * 1e6), self._tell_death, n, box.name, process)
 
