A drain in a lost line is kept where the box's start was lost too, under its old name or DNS's

A box dies, another starts at its address; the line that told of it is lost; then the next lost line tells that the new one drains.

Examined: what was heeded, by a probe in Discovery._heed. The claim stands whole, but names nobody that the list knows, so it was passed over (`there is not None and known is not None`), while the address is known under the old name, or by DNS. _oust has the same case for lines that are read whole.

Change: a claim that a stranger drains or is gone holds back whoever is known at its address and started earlier; other sources' boxes there are told by Book.overheard (nothing to do where the list is the one source).

--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -39,6 +39,13 @@
         """The address book has changed, or could not be brought up to date (`forkweir.Balancer.on_list` has the forms)."""
         ...
 
+    def overheard(self, places: list[Address], whole: bool) -> None:
+        """Servers that this list never named drain or are gone; whole: in a line that was read whole (else until the next such line).
+
+        Another source may name them (guards against a drain that is lost on a node because its list lost the addition before it).
+        """
+        ...
+
 
 class Watch:
     """One call to discovery, from its dial to its end."""
@@ -290,13 +297,23 @@
 
     def _heed(self, claims: list[Claim]) -> None:
         """Claims of a line that is not whole: servers that drain, are gone or may be get nothing new until a whole line settles it."""
-        book, words = self._node.servers, []
+        book = self._node.servers
+        words: list[Word] = []
+        strangers: list[Address] = []
         for claim in claims:
             name, state = claim.server.name, claim.server.state
+            if name not in book and claim.address is not None and state in ("draining", "gone"):
+                strangers.append(claim.address)
+                # Who started there later ends whoever is known there: its end is among what is lost (see `_oust`; seed 20000704).
+                begun = claim.server.started_ms
+                old = [n for n, s in book.items() if s.address == claim.address and n in self._told and self._told[n].started_ms < begun]
+                words += [Word(n, "draining", same_place=True) for n in old]
             there, known = book.get(name), self._told.get(name)
             if there is not None and known is not None:
                 later = state == "in" and claim.server.started_ms > known.started_ms
                 words.append(Word(name, state, claim.address in (None, there.address), later))
+        if strangers:
+            self._node.overheard(strangers, whole=False)
         if not words:
             return
         before = set(self._hearsay.held)
@@ -339,6 +356,9 @@
     def _take(self, generation: int, whole: bool, pairs: list[tuple[Server, Address]]) -> list[Server]:
         """Bring the address book up to date, and give the entries in the module's terms."""
         book = self._node.servers
+        strangers = [address for server, address in pairs if server.state == "gone" and server.name not in book]
+        if strangers:
+            self._node.overheard(strangers, whole=True)
         ousted = self._oust(pairs)
         for server, address in pairs:
             known = book.get(server.name)
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -9,7 +9,7 @@
 
 from corkshift.config import Config
 from corkshift.messages import Answer, Call
-from corkshift.seam import now_ms
+from corkshift.seam import Address, now_ms
 from corkshift.upstream import Attempt, CacheServer, Outcome, Pool
 from forkweir import Action, Balancer, Server
 
@@ -133,6 +133,9 @@
         self.informed = self.informed or bool(self.servers)
         self._decide(None, lambda: self._balancer.on_list(now_ms(), form, entries))
 
+    def overheard(self, places: list[Address], whole: bool) -> None:
+        """Servers that the list never named drain or are gone: nothing to do where it is the one source."""
+
     def _overdue(self, call: Call) -> None:
         log.warning("request %d had no answer by its deadline", call.id)
         self.end(call, Answer(504))
--- a/corkshift/sources/boxlist.py
+++ b/corkshift/sources/boxlist.py
@@ -4,22 +4,39 @@
 
 from collections.abc import Callable, Iterable
 
+from corkshift.seam import Address
 from corkshift.sources import Sink
 from corkshift.upstream import CacheServer
 from forkweir import Server
 from forkweir.known.membership import Claim
 
+MOST_OVERHEARD = 4_096
+
 
 class BoxList:
     """The address book that discovery writes, turned into claims."""
 
-    def __init__(self, sink: Sink, ask: Callable[[str], None]) -> None:
-        """ask: told "failed" or "lost", upon which the module says when discovery is called again."""
+    def __init__(self, sink: Sink, ask: Callable[[str], None], spare: Callable[[Address], bool]) -> None:
+        """ask: told "failed" or "lost", upon which the module says when discovery is called again. spare: whether others than the box
+        at a place are in service."""
         self.servers: dict[str, CacheServer] = {}
         self._sink = sink
         self._ask = ask
+        self._spare = spare
         self._told: dict[str, Server] = {}
-        self._places: dict[str, tuple[str, int]] = {}
+        self._places: dict[str, Address] = {}
+        self._draining: dict[Address, None] = {}  # overheard, until a line is read whole
+        self._gone: list[Claim] = []  # overheard in the line that is being read
+
+    def overheard(self, places: list[Address], whole: bool) -> None:
+        """See `corkshift.discovery.Book`. What was not read whole takes nobody's last server."""
+        if whole:
+            self._gone += [Claim(place, "gone") for place in places[:MOST_OVERHEARD]]
+            return
+        for place in places:
+            if len(self._draining) < MOST_OVERHEARD and place not in self._draining and self._spare(place):
+                self._draining[place] = None
+                self._sink.tell("list", [Claim(place, "draining")], full=False)
 
     def on_list(self, form: str, entries: Iterable[Server]) -> None:
         """What `Node.on_list` is told where the box list is the one source."""
@@ -28,7 +45,9 @@
                 self._sink.failed("list", "discovery does not answer, or ended the watch")
             self._ask(form)
             return
-        gone = []
+        gone, self._gone = self._gone, []
+        if form in ("full", "changes"):
+            self._draining.clear()  # a line that was read whole has told of them anew, where there is anything to tell
         for server in entries:
             if server.state == "gone":
                 if server.name in self._places:
@@ -47,6 +66,7 @@
                 )
             )  # fmt: skip
         there = {claim.address for claim in claims}
+        claims += [Claim(place, "draining") for place in self._draining if place not in there]
         for name in self._told.keys() - self.servers.keys():
             del self._told[name]
         for name in self._places.keys() - self.servers.keys():
--- a/corkshift/sources/hub.py
+++ b/corkshift/sources/hub.py
@@ -41,7 +41,7 @@
         self._boxes: list[Box] = []
         self._level = 0
         self._timer: Optional[asyncio.TimerHandle] = None
-        self.box_list = BoxList(self, self._ask)
+        self.box_list = BoxList(self, self._ask, self._others)
         self.dns = DnsSource(self, options.dns, seed) if options.dns is not None else None
         self.file = FileSource(self, options.file) if options.file is not None else None
         self._window = Window(options.members_socket, self.dump) if options.members_socket else None
@@ -92,6 +92,9 @@
     def _ask(self, form: str) -> None:
         self._node.on_list(form, [])
 
+    def _others(self, place: Address) -> bool:
+        return any(server.leaving_ms is None and server.address != place for server in self._node.servers.values())
+
     # -- what follows --------------------------------------------------------------------
 
     def _apply(self, form: str) -> None:
--- a/forkweir/known/membership.py
+++ b/forkweir/known/membership.py
@@ -151,8 +151,7 @@
             del view.held[address]
         for address, claim in named.items():
             if claim.state == "gone":
-                if address in view.claims or address in view.held:
-                    self._bury(view, address, now, by_name=True)
+                self._bury(view, address, now, by_name=True)  # also one that it never named: another source may
                 continue
             if address not in view.claims and len(view.claims) >= MOST_BOXES:
                 continue
--- a/testbed/nights/defects.py
+++ b/testbed/nights/defects.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from typing import Any
 
 from corkshift import seam, upstream
@@ -13,10 +14,12 @@
 from corkshift.frontend import ClientConnection, Frontend
 from corkshift.messages import Answer, Call
 from corkshift.node import Node
+from corkshift.sources import message, resolver
 from corkshift.stream import Stream
 from corkshift.upstream import Attempt, NotSent, Outcome, Pool
 from forkweir.choice import Balancer
 from forkweir.fleet import Fleet
+from forkweir.known.membership import Membership
 from forkweir.limits.allowance import Account, Allowances
 
 Patch = tuple[Any, str, Any]
@@ -294,3 +297,33 @@
         return account.level >= cost
 
     return [(Balancer, "_has_room", has_room), (Allowances, "has", has)]
+
+
+@defect("a source that names nobody any more empties the set")
+def believes_an_emptied_source() -> list[Patch]:
+    def fall(self: Any, source: str, view: Any, missing: Any, moved: Any, now: float) -> None:
+        for address in missing:
+            self._bury(view, address, now)
+
+    return [(Membership, "_fall", fall)]
+
+
+@defect("an answer of DNS is taken whoever it is for")
+def takes_a_forged_answer() -> list[Patch]:
+    def read(wire: bytes, asked: Any, stream: bool = False) -> Any:
+        return message.read(asked.id.to_bytes(2, "big") + wire[2:], asked, stream)
+
+    return [(resolver, "read", read)]
+
+
+@defect("a box that one source says drains is kept in service while another names it")
+def asks_dns_about_a_drain() -> list[Patch]:
+    box = Membership._box
+
+    def deaf(self: Any, address: Any, names: Any, now: float, last: bool, taken: Any) -> Any:
+        found = box(self, address, names, now, last, taken)
+        if found is not None and found.server.state == "draining" and any(how == "in" for _, how in found.said):
+            return replace(found, server=replace(found.server, state="in"))
+        return found
+
+    return [(Membership, "_box", deaf)]
--- a/testbed/nights/rules.py
+++ b/testbed/nights/rules.py
@@ -33,6 +33,7 @@
 from testbed.systems.standins import CacheBox, Witness
 
 GRACE_US = 250_000
+HEARD_US = 1_500_000  # by then an answer of DNS was lost and asked for again
 MORE_US = 50_000  # each time limit on sockets is this much longer
 FALL_MULTIPLE = 4.0
 FALL_US = 2_000_000
@@ -98,7 +99,8 @@
         self._listed: dict[Owner, set[str]] = {}  # of a node: the addresses that it was told are in service
         self._started: set[tuple[Owner, str]] = set()  # (node, host of a server): the node was told that it started lately
         self._ever: dict[Owner, set[str]] = {}  # of a node: the addresses that its list ever named in service
-        self._named: set[str] = set()  # and those that DNS did
+        self._named: set[str] = set()  # and those that DNS did,
+        self._heard: dict[Owner, dict[str, int]] = {}  # and those that it gave to a node, first when
         self._heads: dict[VirtualSocket, bytearray] = {}
         self._work: dict[str, deque[tuple[int, float, bool]]] = {}
         self._dialed: dict[Owner, int] = {}
@@ -277,6 +279,14 @@
         """DNS names these from now on."""
         self._named.update(addresses)
 
+    def given(self, host: str, addresses: Iterable[str]) -> None:
+        """DNS gave a node records of these."""
+        process = self.nodes.get(host)
+        if process is not None:
+            heard = self._heard.setdefault(process, {})
+            for address in addresses:
+                heard.setdefault(address, self._now())
+
     def never_empty(self) -> None:
         """Rule 7, of every node that has further sources and has begun."""
         for process, service in self.services.items():
@@ -284,7 +294,8 @@
                 continue
             if any(server.leaving_ms is None for server in service.node.servers.values()):
                 continue
-            left = [address for address in self._ever[process] if (process, address) not in self._left_out]
+            heard = {a for a, at in self._heard.get(process, {}).items() if self._now() - at > HEARD_US}
+            left = [address for address in self._ever[process] | heard if (process, address) not in self._left_out]
             if left:
                 self.broken("never empty", f"{process.name} has no server in service though {min(left)} was never taken away")
 
--- a/testbed/nights/script.py
+++ b/testbed/nights/script.py
@@ -23,7 +23,7 @@
     "discovery_wrong", "discovery_down", "book_slow", "book_down", "clock_jump", "rude",
     "box_lie", "flush", "load_step",
     "discovery_spoil", "discovery_refuse", "discovery_mute", "discovery_drop",
-    "dns_how", "dns_stale", "dns_odd",
+    "dns_how", "dns_stale", "dns_odd", "node_blank",
 ]  # fmt: skip
 DRAWN: tuple[Kind, ...] = Kind.__args__[:30]  # type: ignore[attr-defined]  # of every night; the others come with hard nights alone
 MISSED: tuple[Kind, ...] = ("discovery_refuse", "discovery_mute", "discovery_down", "discovery_drop", "discovery_silent")
@@ -144,6 +144,12 @@
         for box in rng.sample(range(world.boxes), rng.randint(1, world.boxes)):
             at_ms = round(at + rng.uniform(0.0, 300.0), 3)
             faults.append(Fault(at_ms=at_ms, kind=rng.choice(("box_kill", "box_rename", "box_drain")), target=box, for_ms=600.0))
+    if rng.random() < 0.25:  # a node that has DNS alone, and then not even that
+        at, node = rng.uniform(100.0, 600.0), rng.randrange(world.nodes)
+        faults.append(Fault(at_ms=round(at, 3), kind="discovery_down", for_ms=10_000.0))
+        faults.append(Fault(at_ms=round(at + 10.0, 3), kind="node_blank", target=node))
+        how = float(rng.choice((1, 2, 3, 12, 12, 13)))  # silent, servfail, refused, empty, nxdomain
+        faults.append(Fault(at_ms=round(at + rng.uniform(1_000.0, 1_500.0), 3), kind="dns_how", target=2, value=how))
     return Script(world=world, fault=sorted(faults, key=lambda fault: fault.at_ms))
 
 
--- a/testbed/nights/simulation.py
+++ b/testbed/nights/simulation.py
@@ -199,13 +199,14 @@
         self.processes.append(process)
         return process
 
-    def start_node(self, n: int, wall_offset_ms: float = 0.0) -> None:
-        """Start a node, or start it again with the list as it last was."""
+    def start_node(self, n: int, wall_offset_ms: float = 0.0, blank: bool = False) -> None:
+        """Start a node, or start it again with the list as it last was (blank: with none)."""
         w, name = self.script.world, f"n{n}"
         process = self._process(name, self._node_host(n))
         process.descriptors = w.descriptors
         process.wall_offset_ms = wall_offset_ms
-        known = {"generation": 1, "reset": True, "instances": list(self.entries.values())}
+        entries = [] if blank else list(self.entries.values())
+        known = {"generation": 1, "reset": True, "instances": entries}
         config = {
             "name": name,
             "listen": f"{process.host}:{NODE_PORT}",
@@ -229,7 +230,7 @@
             await service.run()
 
         self.nodes[name] = process
-        self.rules.starts(process, list(self.entries.values()))
+        self.rules.starts(process, entries)
         process.on_end = lambda: self._node_ended(process)
         process.start(program)
         self.trace.note(f"{name} starts")
@@ -307,6 +308,7 @@
         if w.sources == "dns":
             self._name_boxes()
             for server in self.resolvers:
+                server.told = self._given
                 process = self._process(f"dns-{server.address[0]}", server.address[0])
                 process.start(server.run)
         for n in range(w.nodes):
@@ -356,12 +358,23 @@
         self.rules.named(f"{host}:{port}" for host, port in alive.values())
         self.trace.note(f"DNS names {' '.join(alive)}")
 
+    def _do_node_blank(self, fault: Fault) -> None:
+        """A node dies and comes back without a list."""
+        process = self.nodes[f"n{fault.target}"]
+        if process.alive:
+            process.kill()
+            self._dead_us[process.name] = self.loop.now_us
+            self.loop.after_us(50_000, self._restart_node, fault.target, 0.0, True)
+
     def _do_dns_how(self, fault: Fault) -> None:
         """One name server, or both, are wrong in one of the ways of `HOWS`."""
         for server in self.resolvers if fault.target == 2 else [self.resolvers[fault.target % 2]]:
             server.how = HOWS[int(fault.value) % len(HOWS)]
             self._later(fault, setattr, server, "how", "good")
 
+    def _given(self, host: str, targets: list[str]) -> None:
+        self.rules.given(host, [f"{address}:{BOX_PORT}" for target in targets for address in self.zone.records[target, "A"][1]])
+
     def _do_dns_stale(self, fault: Fault) -> None:
         """DNS hears of nothing."""
 
@@ -499,9 +512,9 @@
             self.trace.note(f"{process.name} is killed")
             self._later(fault, self._restart_node, fault.target)
 
-    def _restart_node(self, n: int, wall_offset_ms: float = 0.0) -> None:
+    def _restart_node(self, n: int, wall_offset_ms: float = 0.0, blank: bool = False) -> None:
         if not self.nodes[f"n{n}"].alive:
-            self.start_node(n, wall_offset_ms)
+            self.start_node(n, wall_offset_ms, blank)
 
     def _do_node_pause(self, fault: Fault) -> None:
         process = self.nodes[f"n{fault.target}"]
--- a/testbed/systems/dns.py
+++ b/testbed/systems/dns.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, Optional
@@ -25,6 +26,7 @@
 ZONE = "cache.example.org."
 SOA = "ns.cache.example.org. admin.cache.example.org. 1 60 60 600 5"
 UDP_MOST = 1_232
+_WIRE = b"".join(bytes([len(label)]) + label.encode() for label in SERVICE.rstrip(".").split("."))
 MANY = 4_000  # records: what one message over TCP holds
 
 HOWS = (
@@ -64,6 +66,7 @@
         self.zone = zone
         self.how = how
         self.late_s = 1.0
+        self.told: Callable[[str, list[str]], None] = lambda host, targets: None  # whom it gave the service's records, and their targets
         self.asked: list[tuple[str, str, str]] = []  # by which way, name as it came, type
         self._udp: Any = None
         self._tcp: Any = None
@@ -111,6 +114,8 @@
                 data, sender = self._udp.recvfrom(65_535)
             except OSError:
                 return
+            if self.how == "good" and data[12:].lower().startswith(_WIRE):
+                self.told(sender[0], [text.split()[3] for text in self.zone.records.get((SERVICE, "SRV"), (0, []))[1]])
             if self.how == "late":
                 asyncio.get_running_loop().call_later(self.late_s, self._send, self.answers(data, False), sender)
             else:
--- a/tests/testbed/test_simulation.py
+++ b/tests/testbed/test_simulation.py
@@ -51,6 +51,9 @@
     "has-no-deadline": (91, "one final answer"),
     "pushes-a-cold-server-over": (61, "no cold server pushed over"),
     "forgets-the-allowance-of-a-repeat": (20_004, "no cold server pushed over"),
+    "believes-an-emptied-source": (20_000_007, "never empty"),
+    "takes-a-forged-answer": (20_000_004, "only who is named"),
+    "asks-dns-about-a-drain": (20_000_002, "drains kept"),
     "lets-out-what-a-pause-held": (3, "no cold server pushed over"),
 }
 
@@ -104,7 +107,7 @@
 @pytest.mark.parametrize("name", DEFECTS)
 def test_every_deliberate_defect_is_found(name: str) -> None:
     seed, rule = FOUND[name]
-    assert seed in MANY or seed in HARD or seed in TOLD or name in RARE
+    assert seed in MANY or seed in HARD or seed in TOLD or seed in SOURCED or name in RARE
     summary = play(seed, name, SCRIPTS.get(name))
     assert rule in {kind_of(failure) for failure in summary.failures}
     assert play(seed, script=SCRIPTS.get(name)).failures == ()  # the night is a good one without it
