--- a/corkshift/sources/options.py
+++ b/corkshift/sources/options.py
@@ -24,7 +24,7 @@
 class Limits:
     """Bounds of a resolver: lifetimes in s from floor_s to ceiling_s."""
 
-    floor_s: float = 1.0
+    floor_s: float = 5.0
     ceiling_s: float = 300.0
     stale_s: float = 86_400.0  # how long after its end an answer is served while no server answers
     queries_per_s: float = 20.0
@@ -54,7 +54,7 @@
     resolv_conf: str = "/etc/resolv.conf"
     rank: Rank = 10
     may: list[Right] = msgspec.field(default_factory=lambda: list[Right](["add", "weigh"]))
-    floor_s: Span = 1.0  # of lifetimes
+    floor_s: Span = 5.0  # of lifetimes: an answer that names 67 boxes takes some 10 ms to read
     ceiling_s: Span = 300.0
     old_s: Annotated[float, msgspec.Meta(ge=0.0, le=604_800.0)] = 86_400.0  # how long old answers are served (RFC 8767)
     queries_per_s: Annotated[float, msgspec.Meta(ge=0.1, le=1_000.0)] = 20.0
--- a/testbed/nights/rules.py
+++ b/testbed/nights/rules.py
@@ -101,6 +101,7 @@
         self._ever: dict[Owner, set[str]] = {}  # of a node: the addresses that its list ever named in service
         self._named: set[str] = set()  # and those that DNS did,
         self._heard: dict[Owner, dict[str, int]] = {}  # and those that it gave to a node, first when
+        self._empty: dict[Owner, int] = {}  # nodes with no server in service, since when one could be (a line may be on its way)
         self._heads: dict[VirtualSocket, bytearray] = {}
         self._work: dict[str, deque[tuple[int, float, bool]]] = {}
         self._dialed: dict[Owner, int] = {}
@@ -293,10 +294,14 @@
             if service.sources is None or not process.running or not service.node.informed:
                 continue
             if any(server.leaving_ms is None for server in service.node.servers.values()):
+                self._empty.pop(process, None)
                 continue
             heard = {a for a, at in self._heard.get(process, {}).items() if self._now() - at > HEARD_US}
             left = [address for address in self._ever[process] | heard if (process, address) not in self._left_out]
-            if left:
+            since = self._empty.setdefault(process, self._now())
+            if not left:
+                self._empty[process] = self._now()
+            elif self._now() - since > GRACE_US and not process.stood_still(since, self._now()):
                 self.broken("never empty", f"{process.name} has no server in service though {min(left)} was never taken away")
 
     # -- the wire ------------------------------------------------------------------------
