An address of the list that is no IPv4 address is no address: the entry is left out

Change: listing reads a place as an IPv4 address and a port, or the entry is of no use (PROTOCOL gives addresses). Found by the rule that nothing is dialed that no source named; older than sources.

--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -108,3 +108,11 @@
 def test_what_is_no_list_is_told_so(text: bytes) -> None:
     with pytest.raises(BadList):
         parse(text)
+
+
+@pytest.mark.parametrize("place", ["127{.0.0.1:8001", "box.example.org:8001", "::1:8001", "127.0.0.1:80011", "127.0.0.256:8001"])
+def test_an_entry_whose_place_is_no_ipv4_address_is_left_out(place: str) -> None:
+    # Guards against noise within an address, in a line that can be read all the same: the node would look the name up.
+    text = line([entry(0), {**entry(2, "in_service"), "hostPort": place}])
+    assert [server.name for server, _ in parse(text)[2]] == ["s0"]
+    assert told(claims_of(text[:-2] + b" ")) == {"s0": "draining", "s2": "unreadable"}
