--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,77 @@
+"""What the platform asks of `build` and `run` (docs/operations.md), as far as it can be held without its bench."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+import struct
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+from loopback import CacheBox, Registry, play, until
+from test_process import ROOT, Process, free_port
+
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+
+
+def test_run_is_one_plain_exec_and_names_what_build_leaves() -> None:
+    assert re.fullmatch(r"exec \.venv/bin/python -m corkshift", DEPLOY["run"])
+    assert re.fullmatch(r"exec \.venv/bin/python -m forkweir\.adapter", DEPLOY["sim"])
+    assert DEPLOY["packages"] == [] and "requirements.txt" in DEPLOY["build"] and "sudo" not in DEPLOY["build"]
+
+
+def test_the_interpreter_is_linked_dynamically() -> None:
+    # An ELF program with an interpreter segment (PT_INTERP) is loaded by the C library's loader, which heeds LD_PRELOAD.
+    data = Path(sys.executable).resolve().read_bytes()
+    assert data[:5] == b"\x7fELF\x02"
+    start, size, count = *struct.unpack_from("<Q", data, 32), *struct.unpack_from("<HH", data, 54)
+    assert 3 in {struct.unpack_from("<I", data, start + n * size)[0] for n in range(count)}
+
+
+def pathnames(pid: int) -> list[str]:
+    """The names of the Unix sockets that a process holds, and what of its sockets is neither Unix nor IPv4."""
+    inodes = {os.readlink(path)[8:-1] for path in Path(f"/proc/{pid}/fd").iterdir() if os.readlink(path).startswith("socket:[")}
+    known: dict[str, str] = {}
+    for kind, column in (("tcp", 9), ("udp", 9), ("unix", 6)):
+        for row in Path(f"/proc/{pid}/net/{kind}").read_text().splitlines()[1:]:
+            cells = row.split()
+            known[cells[column]] = cells[7] if kind == "unix" and len(cells) > 7 else ""
+    return [known.get(inode, f"unknown {inode}") for inode in inodes if known.get(inode, "?")]
+
+
+@pytest.mark.parametrize("breach", ["", "child", "unix", "file", "ipv6"])
+def test_the_node_serves_with_nothing_but_what_the_platform_allows(tmp_path: Path, breach: str) -> None:
+    async def test() -> None:
+        (tmp_path / "tmp").mkdir()
+        box = CacheBox()
+        box.listen()
+        registry = Registry({"s0": box})
+        registry.start()
+        process = Process(tmp_path / "config.json", registry, free_port())
+        process.write()
+        environ = {**os.environ, "PROXY_CONFIG": str(process.path), "TMPDIR": str(tmp_path / "tmp")}
+        process.process = await asyncio.create_subprocess_exec(
+            sys.executable, str(ROOT / "tests" / "audited.py"), breach, cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
+        )
+        process.reading = asyncio.create_task(process._read_log())
+        try:
+            await process.served("start")
+            pid = process.process.pid
+            if breach:
+                await until(lambda: any("BREACH" in line for line in process.log))
+                return
+            assert (Path(f"/proc/{pid}/task/{pid}/children")).read_text() == ""
+            assert pathnames(pid) == []
+            assert list((tmp_path / "tmp").iterdir()) == []
+            assert not any("BREACH" in line for line in process.log)
+        finally:
+            process.process.kill()
+            await process.process.wait()
+            await process.reading
+            await registry.stop()
+            box.close()
+
+    play(test)
