--- /dev/null
+++ b/benchmarks/memory.py
@@ -0,0 +1,112 @@
+"""What of a node grows over a long day with ever new keys, clients and servers; exits non-zero where a table goes on growing.
+
+    python -m benchmarks.memory --seconds 240 --rate 150
+
+The node runs on the virtual clock among the testbed's systems. At each eighth of the day every container that is reachable from its
+`Service` is counted by its path of attributes, and its objects by type; allocated blocks are those of the interpreter for the whole world.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import sys
+import types
+from collections import Counter, deque
+from collections.abc import Iterator
+from typing import Any
+
+from testbed.nights import simulation
+from testbed.nights.script import Fault, Script, World
+
+PARTS = 8
+GROWTH_MOST = 1.1  # of a table over the last half of the day,
+SLACK = 64  # and so many entries
+SKIPPED = (types.ModuleType, type, types.FunctionType, types.BuiltinFunctionType, types.CodeType, types.FrameType)
+
+
+def tables(root: object) -> Iterator[tuple[str, int]]:
+    """Each container that is reachable from an object through attributes and containers of this project's own: its path, its length."""
+    seen: set[int] = set()
+    queue: deque[tuple[str, object]] = deque([("", root)])
+    while queue:
+        path, value = queue.popleft()
+        if id(value) in seen or isinstance(value, (*SKIPPED, str, bytes, int, float, bool, type(None))):
+            continue
+        seen.add(id(value))
+        if isinstance(value, dict | list | set | deque | tuple | bytearray):
+            yield path, len(value)
+            if not isinstance(value, bytearray):
+                inner = value.values() if isinstance(value, dict) else value
+                queue.extend((f"{path}[]", one) for one in list(inner))
+            continue
+        if type(value).__module__.split(".")[0] not in ("corkshift", "forkweir", "random"):
+            continue
+        names = [name for cls in type(value).__mro__ for name in getattr(cls, "__slots__", ())]
+        for name in [*names, *getattr(value, "__dict__", {})]:
+            queue.append((f"{path}.{name}", getattr(value, name, None)))
+
+
+def census(root: object) -> Counter[str]:
+    """The entries of all containers by path."""
+    found: Counter[str] = Counter()
+    for path, size in tables(root):
+        found[path] += size
+    return found
+
+
+def script(seconds: float, rate: float, boxes: int) -> Script:
+    """A day on which every key is new, servers are replaced one after another, and nodes see bad clients and reloads."""
+    world = World(seconds=seconds, nodes=1, boxes=boxes, requests_per_s=rate, keys=100_000, cores=4)
+    faults = []
+    for n in range(int(seconds / 4.0)):
+        at = 1_000.0 + 4_000.0 * n
+        faults.append(Fault(at_ms=at, kind="box_rename", target=n % boxes, for_ms=600.0))
+        faults.append(Fault(at_ms=at + 1_500.0, kind="rude", value=float(n % 8)))
+        if n % 10 == 0:
+            faults.append(Fault(at_ms=at + 2_500.0, kind="node_hup"))
+    return Script(world=world, fault=faults)
+
+
+def main() -> int:
+    """Print the tables that grew; the exit code."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--seconds", type=float, default=240.0)
+    parser.add_argument("--rate", type=float, default=150.0, help="requests a second")
+    parser.add_argument("--boxes", type=int, default=12)
+    args = parser.parse_args()
+    rows: list[tuple[float, int, Counter[str]]] = []
+    made: list[Any] = []
+    first = simulation.World.__init__
+
+    def born(self: Any, *more: Any) -> None:
+        first(self, *more)
+        made.append(self)
+        for part in range(1, PARTS + 1):
+            self.loop.after_us(int(args.seconds * 1e6 * part / PARTS), look, self)
+
+    def look(world: Any) -> None:
+        gc.collect()
+        services = [service for process, service in world.rules.services.items() if process.running]
+        rows.append((world.loop.now_us / 1e6, sys.getallocatedblocks(), census(services[0])))
+
+    simulation.World.__init__ = born  # type: ignore[method-assign, assignment]
+    try:
+        result = simulation.run(1, script(args.seconds, args.rate, args.boxes))
+    finally:
+        simulation.World.__init__ = first  # type: ignore[method-assign]
+    print(f"{result.figures.asked} requests, {args.seconds / 4.0:.0f} servers replaced; {len(result.failures)} rules broken")
+    print("time, s        " + " ".join(f"{at:8.0f}" for at, _, _ in rows))
+    print("entries in all " + " ".join(f"{sum(found.values()):8}" for _, _, found in rows))
+    half, end = rows[PARTS // 2 - 1][2], rows[-1][2]
+    paths = sorted(end, key=lambda path: -(end[path]))[:12]
+    for path in paths:
+        print(f"{path[-60:]:60} " + " ".join(f"{found[path]:7}" for _, _, found in rows))
+    growing = [path for path in end if end[path] > half[path] * GROWTH_MOST + SLACK]
+    for path in growing:
+        print(f"GROWS {path}: {half[path]} at half of the day, {end[path]} at its end")
+    return 1 if growing or result.failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
