--- a/corkshift/sources/dns.py
+++ b/corkshift/sources/dns.py
@@ -37,6 +37,7 @@
         self.resolver = Resolver(self._resolvers(options), options.limits(), seam.entropy)
         self._task: Optional[asyncio.Task[None]] = None
         self._failures = 0
+        self._good_ms = 0.0  # when a resolver last answered; 0 where nothing of it stands
 
     @staticmethod
     def _resolvers(options: DnsTable) -> list[tuple[str, int]]:
@@ -68,6 +69,9 @@
                 wait_s = await self.once()
                 self._failures = 0
             except LookupFailed as error:
+                if self._good_ms and now_ms() - self._good_ms > 1_000.0 * self._options.old_s:
+                    self._good_ms = 0.0
+                    self._sink.tell("dns", [])  # too old by what the operator says; the merge sees that this empties nothing
                 self._sink.failed("dns", str(error))
                 wait_s = self._back_off()
             except Exception:
@@ -81,8 +85,10 @@
         return min(AGAIN_MOST_S, AGAIN_S * 2.0 ** (self._failures - 1)) * (0.5 + self._random.random())
 
     async def once(self) -> float:
-        """One round: look up, tell, and how long until the next, in s. LookupFailed where there is nothing to tell."""
+        """One round: look up, tell, and how long until the next, in s. LookupFailed where there is nothing new to tell."""
         service = await self.resolver.look_up(self._options.service, "SRV", AHEAD)
+        if service.old and self._good_ms:
+            raise LookupFailed("no resolver answers; old records are served")
         records = service.answer.services[:MOST_TARGETS]
         if len(service.answer.services) > MOST_TARGETS:
             log.warning("dns: %d records, %d are heeded", len(service.answer.services), MOST_TARGETS)
@@ -107,6 +113,7 @@
         # A target whose addresses can't be had just now is not gone.
         self._sink.tell("dns", claims_of(records, found), full=not lost)
         old = [one for one in kept if one.old]
+        self._good_ms = self._good_ms if service.old else now_ms()
         if lost or old:
             self._sink.failed("dns", lost[0] if lost else "no resolver answers; old records are served")
             return self._back_off()
--- a/tests/sources/test_message.py
+++ b/tests/sources/test_message.py
@@ -87,6 +87,16 @@
         read(answered(name=f"c0.{ZONE}", kind="A", zone=zone), asked(f"c0.{ZONE}", "A"))
 
 
+def test_a_lifetime_of_2_to_the_31_counts_as_none() -> None:
+    zone = Zone()
+    zone.put(f"s0.{ZONE}", "A", 0x7FEEDDCC, ["10.0.0.1"])
+    wire = answered(name=f"s0.{ZONE}", kind="A", zone=zone)
+    assert wire.count(b"\x7f\xee\xdd\xcc") == 1
+    for top in (b"\x80\x00\x00\x00", b"\xff\xff\xff\xff"):  # RFC 2181, 8
+        answer = read(wire.replace(b"\x7f\xee\xdd\xcc", top), asked(f"s0.{ZONE}", "A"))
+        assert answer.addresses == ("10.0.0.1",) and (answer.ttl_s == 0 or answer.ttl_s >= 1 << 31)
+
+
 def test_addresses_of_others_and_of_the_other_family_are_not_taken() -> None:
     zone = Zone()
     zone.serve({"s0": ("10.0.0.1", 8001)})
--- a/tests/sources/test_sources.py
+++ b/tests/sources/test_sources.py
@@ -142,6 +142,24 @@
     play(test)
 
 
+def test_records_older_than_the_operator_allows_are_given_up_while_the_list_serves() -> None:
+    async def test(lab: Lab) -> None:
+        node, sources, discovery = made(lab, guard=GuardTable(hold_s=5.0))
+        sources.reload(replace_dns(sources, old_s=20.0))
+        await asyncio.sleep(0.1)
+        discovery.tell("full", ("s0", "in"), ("s1", "in"))
+        assert len(node.serving) == len(BOXES)
+        for server in lab.servers:
+            server.how = "silent"
+        await asyncio.sleep(18.0)
+        assert len(node.serving) == len(BOXES)
+        await asyncio.sleep(90.0)
+        assert node.serving == {"s0", "s1"}
+        sources.close()
+
+    play(test)
+
+
 def test_the_root_as_target_means_not_offered_here() -> None:
     async def test(lab: Lab) -> None:
         node, sources, discovery = made(lab)
