--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -265,7 +265,8 @@
         if not (self.served or self._pending) and not self._stream.quiet and self._stream.ended:
             budget.give(held)
             raise ConnectionAbortedError("the client has left")
-        call.answer.add_done_callback(lambda _: self._let_go(call, held))
+        if held:  # nearly all requests have no body, and nothing to give back
+            call.answer.add_done_callback(lambda _: self._let_go(call, held))
         self._calls[call.answer] = call
         self._frontend.node.submit(call)
         return call.answer
