--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -208,9 +208,9 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def mutations(count: int) -> int:
+def mutations(count: int, seed: int) -> int:
     """Mutated messages: the named errors alone, and memory that stays. The exit code."""
-    rng, zone = random.Random(1), Zone()
+    rng, zone = random.Random(seed), Zone()
     zone.serve({f"s{n}": (f"10.0.0.{n}", 8001) for n in range(3)}, 30)
     cases = []
     for how, name, kind in (("good", SERVICE, "SRV"), ("good", f"s1.{ZONE}", "A"), ("empty", SERVICE, "SRV"), ("loop", SERVICE, "SRV")):
@@ -260,11 +260,12 @@
     parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
     parser.add_argument("--quick", action="store_true", help="a tenth of the trials")
     parser.add_argument("--mutations", type=int, metavar="N", help="only this: N mutated messages")
+    parser.add_argument("--seed", type=int, default=1, help="of the mutations")
     parser.add_argument("--json", type=Path, metavar="FILE")
     parser.add_argument("--jobs", type=int, default=4, metavar="J")
     args = parser.parse_args()
     if args.mutations:
-        return mutations(args.mutations)
+        return mutations(args.mutations, args.seed)
     seeds = range(1, (TRIALS // 10 if args.quick else TRIALS) + 1)
     missed: list[str] = []
     table: dict[str, Any] = {}
