--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -243,12 +243,14 @@
     text = bytearray(data)
     for _ in range(rng.choice((1, 1, 2, 4, 8))):
         at = rng.randrange(0 if rng.random() < 0.1 else 12, len(text)) if len(text) > 12 else 0
-        way = rng.randrange(4)
+        way = rng.randrange(5)
         if way == 0 and text:
             text[at] = rng.randrange(256)
-        elif way == 1:
-            del text[at : at + rng.randrange(1, 20)]
+        elif way == 1 and text:
+            text[at] ^= 1 << rng.randrange(8)
         elif way == 2:
+            del text[at : at + rng.randrange(1, 20)]
+        elif way == 3:
             text[at:at] = text[at : at + rng.randrange(1, 30)]
         else:
             text[at:at] = rng.randbytes(rng.randrange(1, 20))
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -76,12 +76,10 @@
     parser.add_argument("--boxes", type=int, default=12)
     args = parser.parse_args()
     rows: list[tuple[float, int, Counter[str]]] = []
-    made: list[Any] = []
     first = simulation.World.__init__
 
     def born(self: Any, *more: Any) -> None:
         first(self, *more)
-        made.append(self)
         for part in range(1, PARTS + 1):
             self.loop.after_us(int(args.seconds * 1e6 * part / PARTS), look, self)
 
--- a/benchmarks/path_counts.py
+++ b/benchmarks/path_counts.py
@@ -23,6 +23,7 @@
 from corkshift import seam
 from corkshift.config import load
 from corkshift.service import Service
+from corkshift.stream import Stream
 from testbed.machine.loop import VirtualLoop
 from testbed.machine.net import Network, VirtualSocket
 from testbed.machine.process import Process
@@ -214,9 +215,7 @@
     await asyncio.gather(*(client(n) for n in range(case.clients)))
 
 
-async def _connect() -> Any:
-    from corkshift.stream import Stream
-
+async def _connect() -> Stream:
     sock = seam.stream()
     await seam.connect(sock, NODE)
     return Stream(sock)
--- a/corkshift/cli/members.py
+++ b/corkshift/cli/members.py
@@ -18,9 +18,10 @@
 from corkshift.listing import BadList
 from corkshift.listing import read as read_list
 from corkshift.seam import now_ms
+from corkshift.sources.boxlist import claim_of
 from corkshift.sources.dns import DnsSource
 from corkshift.sources.file import FileSource
-from corkshift.sources.hub import row_of
+from corkshift.sources.hub import view_of
 from corkshift.sources.options import SourcesTable
 from corkshift.sources.resolver import LookupFailed
 from forkweir.known.membership import Claim, Membership
@@ -130,11 +131,7 @@
         except OSError as error:
             sink.failed("dns", f"{dns.resolv_conf}: {error.strerror}")
     now = now_ms()
-    names = ("name", "state", "age_ms", "boxes", "held")
-    view = {
-        "sources": [dict(zip(names, row, strict=True)) for row in sink.merged.sources(now)],
-        "boxes": [row_of(box, True, now) for box in sink.merged.merge(now)],
-    }
+    view = view_of(sink.merged, sink.merged.merge(now), float("inf"), now)
     print(orjson.dumps(view).decode() if as_json else table(view))
     for source, why in sink.failures:
         print(f"gradeshift sources check: {source}: {why}", file=sys.stderr)
@@ -157,11 +154,4 @@
     except (BadConfig, BadList, OSError, http.client.HTTPException, orjson.JSONDecodeError) as error:
         sink.failed("list", str(error) or type(error).__name__)
         return
-    sink.tell(
-        "list",
-        [
-            Claim(address, "draining" if s.state == "draining" else "in", s.name, s.zone, s.kind, s.cell, s.weight, 0, s.started_ms)
-            for s, address in pairs
-            if s.state != "gone"
-        ],
-    )
+    sink.tell("list", [claim_of(server, address) for server, address in pairs if server.state != "gone"])
--- a/corkshift/config.py
+++ b/corkshift/config.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import Any, Optional
 
 import orjson
@@ -46,6 +47,12 @@
     return host, int(port)
 
 
+def ipv4_of(text: str) -> Address:
+    """Split an IPv4 address and its port; ValueError for anything else: a host that is no address is a name, and would be looked up."""
+    host, port = address_of(text)
+    return str(IPv4Address(host)), port
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read the configuration; BadConfig has one line for the operator."""
     path = environ.get("PROXY_CONFIG")
--- a/corkshift/listing.py
+++ b/corkshift/listing.py
@@ -16,12 +16,11 @@
 import logging
 import re
 from dataclasses import dataclass
-from ipaddress import IPv4Address
 from typing import Any
 
 import orjson
 
-from corkshift.config import address_of
+from corkshift.config import ipv4_of
 from corkshift.seam import Address, now_ms
 from forkweir import Server
 
@@ -147,7 +146,7 @@
     pairs = []
     for entry in entries:
         try:
-            pairs.append((_server_of(entry), _place_of(entry["hostPort"])))
+            pairs.append((_server_of(entry), ipv4_of(entry["hostPort"])))
         except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
             log.warning("an entry of the list is of no use: %s: %s", type(error).__name__, error)
     return generation, bool(data.get("reset")), pairs
@@ -156,20 +155,11 @@
 def _claim(text: bytes) -> Claim | None:
     try:
         entry = orjson.loads(text)
-        return Claim(_server_of(entry), _place_of(entry["hostPort"]))
+        return Claim(_server_of(entry), ipv4_of(entry["hostPort"]))
     except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
-def _place_of(text: str) -> Address:
-    """An IPv4 address and port; ValueError for anything else.
-
-    Guards against noise within an address, which leaves the line readable: a host that is no address is a name, and would be looked up.
-    """
-    host, port = address_of(text)
-    return str(IPv4Address(host)), port
-
-
 def _server_of(entry: dict[str, Any]) -> Server:
     name = entry["instanceId"]
     if not NAME_FORM.fullmatch(name):
--- a/corkshift/sources/boxlist.py
+++ b/corkshift/sources/boxlist.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from corkshift.seam import Address
 from corkshift.sources import Sink
 from corkshift.upstream import CacheServer
 from forkweir import Server
-from forkweir.known.membership import Claim
+from forkweir.known.membership import Claim, Said
 
 MOST_OVERHEARD = 4_096
 
 
+def claim_of(server: Server, address: Address) -> Claim:
+    """What the list says of a server that is in service or drains."""
+    state: Said = "draining" if server.state == "draining" else "in"
+    return Claim(address, state, server.name, server.zone, server.kind, server.cell, server.weight, started_ms=server.started_ms)
+
+
 class BoxList:
     """The address book that discovery writes, turned into claims."""
 
@@ -58,13 +65,7 @@
         for name, known in self.servers.items():
             told = self._told[name]
             self._places[name] = known.address
-            state = "draining" if known.leaving_ms is not None or told.state == "draining" else "in"
-            claims.append(
-                Claim(
-                    known.address, "draining" if state == "draining" else "in", name, told.zone, told.kind, told.cell, told.weight,
-                    started_ms=told.started_ms,
-                )
-            )  # fmt: skip
+            claims.append(claim_of(replace(told, state="draining") if known.leaving_ms is not None else told, known.address))
         there = {claim.address for claim in claims}
         claims += [Claim(place, "draining") for place in self._draining if place not in there]
         for name in self._told.keys() - self.servers.keys():
--- a/corkshift/sources/hub.py
+++ b/corkshift/sources/hub.py
@@ -163,21 +163,23 @@
     def dump(self) -> bytes:
         """The merged view as JSON, for `members`."""
         now = now_ms()
-        names = ("name", "state", "age_ms", "boxes", "held")
-        view: dict[str, Any] = {
-            "at_ms": round(now),
-            "level": self._level,
-            "sources": [dict(zip(names, row, strict=True)) for row in self._merged.sources(now)],
-            "boxes": [row_of(box, box.priority <= self._level, now) for box in self._boxes],
-        }
+        view = {"at_ms": round(now), "level": self._level, **view_of(self._merged, self._boxes, self._level, now)}
         if self.dns is not None:
             counts = self.dns.resolver.counts
             view["resolver"] = {name: getattr(counts, name) for name in counts.__slots__}
         return orjson.dumps(view) + b"\n"
 
 
-def row_of(box: Box, in_use: bool, now: float) -> dict[str, object]:
-    """One box of the merged set, as `members` and `sources check` show it."""
+def view_of(merged: Membership, boxes: list[Box], level: float, now: float) -> dict[str, Any]:
+    """Sources and boxes as `members` and `sources check` show them. level: up to which priority boxes are in use."""
+    names = ("name", "state", "age_ms", "boxes", "held")
+    return {
+        "sources": [dict(zip(names, row, strict=True)) for row in merged.sources(now)],
+        "boxes": [_row_of(box, box.priority <= level, now) for box in boxes],
+    }
+
+
+def _row_of(box: Box, in_use: bool, now: float) -> dict[str, object]:
     return {
         "name": box.server.name,
         "address": f"{box.address[0]}:{box.address[1]}",
--- a/corkshift/sources/options.py
+++ b/corkshift/sources/options.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Annotated, Literal, Optional
@@ -10,7 +9,7 @@
 import msgspec
 
 from corkshift.cli.schema import Fault, Table
-from corkshift.config import address_of
+from corkshift.config import ipv4_of
 from corkshift.seam import Address
 from forkweir.known.membership import Guard, Rights
 
@@ -62,7 +61,7 @@
     def contradictions(self) -> Iterator[Fault]:
         for n, text in enumerate(self.resolvers):
             try:
-                ipaddress.IPv4Address(address_of(text)[0])
+                ipv4_of(text)
             except ValueError:
                 yield Fault(f"resolvers[{n}]", f"an IPv4 address and a port (10.0.0.2:53), got {text!r:.60}")
         if self.floor_s > self.ceiling_s:
@@ -76,7 +75,7 @@
 
     def addresses(self) -> list[Address]:
         """The resolvers that are named here."""
-        return [address_of(text) for text in self.resolvers]
+        return [ipv4_of(text) for text in self.resolvers]
 
 
 class FileTable(_Ranked, frozen=True, kw_only=True):
--- a/corkshift/sources/resolver.py
+++ b/corkshift/sources/resolver.py
@@ -15,7 +15,7 @@
 import logging
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Optional
 
 from corkshift import seam
@@ -41,7 +41,6 @@
 
 @dataclass(slots=True)
 class _Server:
-    address: Address
     failures: int = 0
     until_ms: float = 0.0
 
@@ -50,26 +49,23 @@
     """Who is asked next: servers in their order, those that failed lately last. Pure."""
 
     def __init__(self, addresses: list[Address]) -> None:
-        self._servers = [_Server(address) for address in addresses]
+        self._servers = {address: _Server() for address in addresses}
 
     def order(self, now: float) -> list[Address]:
         """All servers, best first; those in back-off by when it ends."""
-        ready = [server for server in self._servers if server.until_ms <= now]
-        rest = sorted((server for server in self._servers if server.until_ms > now), key=lambda server: server.until_ms)
-        return [server.address for server in ready + rest]
+        return sorted(self._servers, key=lambda address: max(now, self._servers[address].until_ms))
 
     def failed(self, address: Address, now: float) -> None:
         """It did not answer, or with nothing of use."""
-        for server in self._servers:
-            if server.address == address:
-                server.until_ms = now + min(BACK_OFF_MOST_MS, BACK_OFF_MS * 2.0**server.failures)
-                server.failures = min(16, server.failures + 1)
+        server = self._servers.get(address)
+        if server is not None:
+            server.until_ms = now + min(BACK_OFF_MOST_MS, BACK_OFF_MS * 2.0**server.failures)
+            server.failures = min(16, server.failures + 1)
 
     def answered(self, address: Address) -> None:
         """It did."""
-        for server in self._servers:
-            if server.address == address:
-                server.failures, server.until_ms = 0, 0.0
+        if address in self._servers:
+            self._servers[address] = _Server()
 
 
 @dataclass(slots=True)
@@ -156,7 +152,7 @@
             answer = await self._ask(name, kind)
             ttl = answer.ttl_s if ttl < 0 else min(ttl, answer.ttl_s)
             if not answer.alias:
-                return Answer(ttl, answer.services, answer.addresses, "", answer.exists, answer.foreign_family, answer.extra)
+                return replace(answer, ttl_s=ttl)
             name = answer.alias.lower()
             if name in seen:
                 break
--- a/testbed/nights/script.py
+++ b/testbed/nights/script.py
@@ -121,11 +121,8 @@
 
 def draw(seed: int) -> Script:
     """The script of a seed: a small world with up to seven faults that overlap; others from HARD_FROM and TOLD_FROM on."""
-    return _draw_night(seed) if seed < HARD_FROM else _draw_hard(seed) if seed < TOLD_FROM else _draw_later(seed)
-
-
-def _draw_later(seed: int) -> Script:
-    return _draw_told(seed) if seed < SOURCED_FROM else _draw_sourced(seed)
+    kinds = ((SOURCED_FROM, _draw_sourced), (TOLD_FROM, _draw_told), (HARD_FROM, _draw_hard))
+    return next((kind for first, kind in kinds if seed >= first), _draw_night)(seed)
 
 
 def _draw_sourced(seed: int) -> Script:
--- a/testbed/systems/dns.py
+++ b/testbed/systems/dns.py
@@ -21,6 +21,7 @@
 from corkshift import seam
 from corkshift.seam import Address
 from corkshift.stream import KERNEL_BUFFER, Stream
+from testbed.systems.serving import Program
 
 SERVICE = "_menu._tcp.cache.example.org."
 ZONE = "cache.example.org."
@@ -58,7 +59,7 @@
             self.put(f"{name}.{ZONE}", "A", ttl, [host])
 
 
-class NameServer:
+class NameServer(Program):
     """One server of the zone. how: what it does with each query from now on."""
 
     def __init__(self, address: Address, zone: Zone, how: str = "good") -> None:
@@ -95,14 +96,6 @@
         for task in self._tasks:
             task.cancel()
 
-    async def run(self) -> None:
-        """Answer until cancelled."""
-        self.listen()
-        try:
-            await asyncio.get_running_loop().create_future()
-        finally:
-            self.close()
-
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/testbed/systems/serving.py
+++ b/testbed/systems/serving.py
@@ -128,7 +128,27 @@
         raise
 
 
-class Server:
+class Program:
+    """What runs as a process of its own until it is ended."""
+
+    def listen(self) -> None:
+        """Begin to answer. OSError where the address is taken."""
+        raise NotImplementedError
+
+    def close(self) -> None:
+        """End at once."""
+        raise NotImplementedError
+
+    async def run(self) -> None:
+        """Listen until cancelled."""
+        self.listen()
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            self.close()
+
+
+class Server(Program):
     """A server at an address: `serve` is called for each request that comes whole."""
 
     def __init__(self, address: Address, backlog: int = 256) -> None:
@@ -155,14 +175,6 @@
             connection.stream.abort()
             task.cancel()
 
-    async def run(self) -> None:
-        """Listen until cancelled."""
-        self.listen()
-        try:
-            await asyncio.get_running_loop().create_future()
-        finally:
-            self.close()
-
     async def serve(self, connection: Connection, request: Message) -> None:
         """Answer one request."""
         raise NotImplementedError
--- a/tests/sources/test_message.py
+++ b/tests/sources/test_message.py
@@ -8,6 +8,7 @@
 import dns.rrset
 import pytest
 
+from benchmarks.membership import mutated
 from corkshift.sources.message import MOST_RECORDS, Answer, Foreign, Query, Service, Truncated, Unusable, query, read
 from testbed.systems.dns import SERVICE, ZONE, NameServer, Zone
 
@@ -140,22 +141,3 @@
         except (Foreign, Truncated, Unusable):
             pass
     assert taken > MUTATIONS // 50  # else it would be the header alone that is looked at
-
-
-def mutated(rng: random.Random, data: bytes) -> bytes:
-    """A message with bytes changed, cut out, doubled or added; the header mostly kept, so that what follows is read."""
-    text = bytearray(data)
-    for _ in range(rng.choice((1, 1, 2, 4, 8))):
-        at = rng.randrange(2 if rng.random() < 0.1 else 12, len(text)) if len(text) > 12 else 0
-        way = rng.randrange(5)
-        if way == 0 and text:
-            text[at] = rng.randrange(256)
-        elif way == 1 and text:
-            text[at] ^= 1 << rng.randrange(8)
-        elif way == 2:
-            del text[at : at + rng.randrange(1, 20)]
-        elif way == 3:
-            text[at:at] = text[at : at + rng.randrange(1, 30)]
-        else:
-            text[at:at] = rng.randbytes(rng.randrange(1, 20))
-    return bytes(text)
