Bounds of many nodes dealt in leases that never sum to more than the whole: pure cores

Need: each node guesses its part of a cold box's allowance and of the order book's fetches; what all of them do together is luck.

Change: forkweir/tier: members (SWIM), lending (a keeper by votes that end, its ledger, leases that count from what the holder said last), claims (what the module asks), wire (datagrams of 256 bytes by msgspec), tier (one node's part), seat (where it meets the balancer). The module asks limits/parts where it is set; the simulator's wire carries PUBLISH and PEER. testbed/tier/model plays the protocol alone against drawn faults with clocks that run 5% fast and slow; testbed/check walks all interleavings of three nodes in small scopes.

A split vote held everybody for a whole span of 4 s (seen on one night, traced); word of a candidate that stands back ends that.

--- a/forkweir/adapter.py
+++ b/forkweir/adapter.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import sys
-from typing import Any, BinaryIO
+from typing import TYPE_CHECKING, Any, BinaryIO
 
 import orjson
 
 from forkweir.choice import Balancer
 from forkweir.settings import Action, ClassSpec, Server, Settings
 
+if TYPE_CHECKING:
+    from forkweir.tier.tier import Send, Tier
+
 STATES = {"IN": "in", "LAME": "draining", "OUT": "gone"}
 FORMS = {"SAVED": "saved", "FULL": "full", "INCREMENTAL": "changes", "FAILED": "failed"}
 WORDS = {
@@ -21,7 +24,9 @@
     "probe": "PROBE",
     "follow": "FOLLOW",
     "log": "LOG",
+    "publish": "PUBLISH",
 }
+TIER_TIMER = 4  # token of the timer on which an instance's tier is asked again
 
 
 class Malformed(Exception):
@@ -77,12 +82,18 @@
     return Server(name, zone or "", kind or "", cell or 0, STATES[state], 1.0 if weight is None else weight, started or 0.0)
 
 
+def said(sends: list[Send]) -> list[Action]:
+    """Datagrams of a tier, as actions."""
+    return [("publish", slot, data.hex()) for slot, data in sends]
+
+
 class Adapter:
     """The instances of one process; they share nothing but the pipe."""
 
     def __init__(self) -> None:
         self.instances: dict[int, Balancer] = {}
         self.lists: dict[int, list[Server]] = {}
+        self.tiers: dict[int, Tier] = {}  # of instances that may talk to one another
 
     def event(self, now: float, message: list[Any]) -> tuple[int, list[Action]]:
         """Pass one event to its instance."""
@@ -93,9 +104,10 @@
         i = message[1]
         if name == "INIT":
             self.instances[i] = Balancer(settings_of(message[3]), message[2])
-            return i, []
+            return i, self._join(now, i, message[3], message[2])
         if name == "EXIT":
             self.instances.pop(i, None)
+            self.tiers.pop(i, None)
             return i, []
         balancer = self.instances.get(i)
         if balancer is None:
@@ -110,16 +122,38 @@
             form = FORMS[message[4]]
             return i, balancer.on_list(now, form, [] if form == "failed" else self.lists[message[3]])
         if name == "TICK_DUE":
-            return i, balancer.on_timer(now, message[2])
+            return i, self._tick(now, i) if message[2] == TIER_TIMER else balancer.on_timer(now, message[2])
         if name == "CLIENT_GONE":
             return i, balancer.on_departure(now, message[2])
         if name == "UNDER_WAY":
             return i, balancer.on_started(now, message[2], message[5], message[4])
+        if name == "PEER":
+            tier = self.tiers.get(i)
+            return i, [] if tier is None else said(tier.receive(message[2], bytes.fromhex(message[3]), now))
         if name == "PONG":
             m = message + [None] * (6 - len(message))
             return i, balancer.on_probe(now, m[3], m[2], m[4] or 0.0, m[5])
         return i, []
 
+    def _join(self, now: float, i: int, options: dict[str, Any], seed: int) -> list[Action]:
+        """Take part in the tier, where instances may talk to one another."""
+        self.tiers.pop(i, None)
+        if not (options.get("allowed") or {}).get("peers"):
+            return []
+        # Only there: what is off costs nothing.
+        from forkweir.tier.seat import Seat
+        from forkweir.tier.tier import Tier
+
+        tier = Tier(options["slotNo"], options["balancers"], seed, int(now / 1000.0), now, tier=options.get("tier") or 0)
+        self.tiers[i] = Seat(self.instances[i], tier).tier
+        return self._tick(now, i)
+
+    def _tick(self, now: float, i: int) -> list[Action]:
+        from forkweir.tier.options import TICKS
+
+        tier = self.tiers[i]
+        return [*said(tier.tick(now)), ("timer", TIER_TIMER, now + tier.options.period_ms / TICKS)]
+
     def run(self, source: BinaryIO, sink: BinaryIO) -> None:
         """Serve batches until the input ends."""
         now, batch, inside = 0.0, 0, False
@@ -155,8 +189,8 @@
                 replies.append(orjson.dumps(["GIVE_IN", i, f"{type(error).__name__}: {error}"]))
                 continue
             for action in actions:
-                said = action[:3] if action[0] == "refuse" else action  # this wire has no place for a cause
-                replies.append(orjson.dumps([WORDS[str(action[0])], i, *said[1:]]))
+                words = action[:3] if action[0] == "refuse" else action  # this wire has no place for a cause
+                replies.append(orjson.dumps([WORDS[str(action[0])], i, *words[1:]]))
 
 
 def main() -> int:
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -27,6 +27,7 @@
 from forkweir.known.seen import WORDS, Seen
 from forkweir.limits.allowance import Allowances
 from forkweir.limits.fetches import PASS, Fetches
+from forkweir.limits.parts import Parts
 from forkweir.limits.patience import Patience
 from forkweir.limits.savings import ERRORS, REPEATS, Savings
 from forkweir.limits.work import Costs
@@ -80,6 +81,7 @@
         "allowances",
         "fetches",
         "advice",
+        "parts",
     )
 
     def __init__(self, settings: Settings, seed: int) -> None:
@@ -102,6 +104,7 @@
         self.allowances = Allowances(settings.fall_multiple, max(worths, default=1.0), seed)
         self.fetches = Fetches(max(worths, default=1.0))
         self.advice = Advice(settings.backoff_max_ms, seed)
+        self.parts: Optional[Parts] = None  # of bounds that many nodes share, where they may talk to one another
         self.asking = Asking(settings.ask_within_ms, self.random)
         self.usual = HEDGE_MOST  # the part of their aims in which HEDGE_PART of the attempts are answered
         self.waits: list[tuple[float, int]] = []  # a heap: when each request sent lately will have been out for long
@@ -191,6 +194,9 @@
         if fetches.pressed:
             known = fetches.remembers(position, target.info.name, target.warm_ms)
             expected = fetches.expected(known, write)
+            if self.parts is not None:
+                self.parts.wants_fetches(expected, fetches.flight_ms, now)
+                fetches.dealt = self.parts.fetches(fetches.limit, now)
             if not fetches.has(expected, spec.worth):
                 return [self._refuse(request, "origin", fetches.opens_in(expected, spec.worth), now)]
         # A write that the origin carries out late is lost and still voids the kept object (guards
@@ -342,6 +348,8 @@
         fleet = self.fleet
         if not fleet.is_cold(member, now):
             return True
+        if self.parts is not None:
+            self.parts.wants_work(member.info.name, request.cost / (fleet.weight_of(member) * fleet.ramp(member, now)), now)
         rate = self._cold_rate(member, now)
         if member.account is None:
             member.account = self.allowances.open(now, request.cost, rate, member.known_ms)
@@ -350,7 +358,10 @@
     def _cold_rate(self, member: Member, now: float) -> float:
         """What a cold server may get now, in work a ms."""
         fleet = self.fleet
-        return self.allowances.reference(fleet.weight) * fleet.weight_of(member) * fleet.ramp(member, now)
+        reference = self.allowances.reference(fleet.weight)
+        if self.parts is not None:
+            reference = self.parts.work(member.info.name, reference, now)
+        return reference * fleet.weight_of(member) * fleet.ramp(member, now)
 
     def _calm(self, request: Request, now: float) -> Optional[Member]:
         """A server with room for what another turned away; slow hits tell that in truth none has any."""
--- a/forkweir/limits/fetches.py
+++ b/forkweir/limits/fetches.py
@@ -49,10 +49,11 @@
 class Fetches:
     """What the origin is asked for by way of this node."""
 
-    __slots__ = ("limit", "out", "known", "unknown", "slow", "usual", "pressed", "_cut_ms", "_most_worth", "_served", "_ended")
+    __slots__ = ("limit", "dealt", "out", "known", "unknown", "slow", "usual", "pressed", "_cut_ms", "_most_worth", "_served", "_ended")
 
     def __init__(self, most_worth: float) -> None:
         self.limit = MOST  # in flight, while the budget presses
+        self.dealt: Optional[float] = None  # this node's part of what all may have in flight, where that is dealt (`limits/parts`)
         self.out = 0.0  # expected in flight
         self.known = FIRST_KNOWN
         self.unknown = FIRST_UNKNOWN
@@ -75,7 +76,18 @@
 
     def has(self, cost: float, worth: float) -> bool:
         """Whether a request that is expected to cost so much may be sent."""
-        return cost <= PASS or not self.pressed or self.out < self.limit * (1.0 - RESERVE * (1.0 - worth / self._most_worth))
+        return cost <= PASS or not self.pressed or self.out < self._room(worth)
+
+    def _room(self, worth: float) -> float:
+        """How many may be in flight for a class worth so much to be let in."""
+        limit = self.limit if self.dealt is None else self.dealt
+        return limit * (1.0 - RESERVE * (1.0 - worth / self._most_worth))
+
+    @property
+    def flight_ms(self) -> float:
+        """How long a fetch is in flight, by Little's law: those that are, over the pace at which they end."""
+        pace = self._ended.rate(ENDED_MS)
+        return self.out / pace if pace > 0.0 else ENDED_MS
 
     def pay(self, cost: float) -> None:
         """An attempt goes out."""
@@ -91,7 +103,7 @@
     def opens_in(self, cost: float, worth: float) -> Optional[float]:
         """How long until as many fetches have ended as are over the limit, in ms; None where none ended lately."""
         pace = self._ended.rate(ENDED_MS)
-        over = self.out + cost - self.limit * (1.0 - RESERVE * (1.0 - worth / self._most_worth))
+        over = self.out + cost - self._room(worth)
         return max(0.0, over) / pace if pace > 0.0 else None
 
     def served(self, position: float, server: str, write: bool, now: float) -> None:
--- a/forkweir/settings.py
+++ b/forkweir/settings.py
@@ -14,7 +14,8 @@
 Timer = tuple[Literal["timer"], int, float]  # token, when due in ms
 Probe = tuple[Literal["probe"], str]  # server
 Follow = tuple[Literal["follow"], bool]  # ask for the server list's changes
-Action = Attempt | Refuse | Fail | Cancel | Timer | Probe | Follow
+Publish = tuple[Literal["publish"], int, str]  # to which node of the tier, hex digits; on the simulator's wire alone
+Action = Attempt | Refuse | Fail | Cancel | Timer | Probe | Follow | Publish
 """What the node must do, name first."""
 
 
--- /dev/null
+++ b/forkweir/tier/options.py
@@ -0,0 +1,22 @@
+"""What all nodes of a tier must share: the constants that an operator may change."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+PERIOD_MS = 500.0  # between two questions of `members`, and two beats of a keeper
+FLOOR = 0.5  # of what a node takes by itself: what it has when it hears nobody
+CROWD = 200  # nodes; a keeper of more has longer beats, so that it handles no more datagrams a second
+TICKS = 4  # of a caller's clock in a period, at least
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """floor: 0 to 1; period_ms: 20 and more."""
+
+    floor: float = FLOOR
+    period_ms: float = PERIOD_MS
+
+    def beat_ms(self, count: int) -> float:
+        """Between two calls of the keeper of so many nodes."""
+        return self.period_ms * max(1.0, count / CROWD)
--- /dev/null
+++ b/testbed/check/__init__.py
@@ -0,0 +1,1 @@
+"""All interleavings of pure cores in small scopes."""
--- /dev/null
+++ b/testbed/check/lending.py
@@ -0,0 +1,259 @@
+"""Every interleaving of three nodes that lend, in a small scope: the invariant of `forkweir/tier/lending.py` by exhaustion.
+
+The nodes are real `Dealer`s. What is walked through, breadth first and each state once: in any order, time passes by a unit; a node calls
+the others; what is on the way comes, or never does (it stays on the way, so a cut and a loss are among the walks, and it may come however
+late); one datagram comes twice; one process is killed and begins anew. Each node wants all of each bound. Clocks run at their own rates,
+one slow and one fast by DRIFT.
+
+The scope: so many units of time, a vote of VOTE of them and a lease of HOLD; MOST_OUT datagrams on the way at once (what does not fit is
+lost); so many calls in all, by `callers`. What it can't show: more than three nodes, more than one restart, schedules of more calls, and
+progress. A scope that is not walked to its end has been walked breadth first up to so many states.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import NamedTuple, Optional
+
+from forkweir.tier.lending import DRIFT, WHOLE, Dealer, Lease
+
+NODES = 3
+VOTE = 3.0
+HOLD = 1
+UNIT = 1_000.0  # ms
+MOST_OUT = 3
+
+
+class Datagram(NamedTuple):
+    """A call with its grants (parts of each bound), a reply with its vote, or word that the sender stands no more."""
+
+    kind: str
+    sender: tuple[int, int]
+    to: int
+    token: int  # that it is for, 0 for whichever
+    number: int
+    echo: int
+    what: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class State:
+    """A moment of the scope."""
+
+    at: int
+    dealers: list[Dealer]
+    known: list[dict[int, tuple[int, int]]]  # of each node: by other, its token and the number of its last reply
+    keys: list[int]  # of each node: what tells its states apart
+    out: tuple[Datagram, ...]
+    calls: int
+    doubles: int
+    restarts: int
+    trail: Optional[Trail]
+
+
+class Trail(NamedTuple):
+    """How a state came about, the last step first."""
+
+    step: str
+    before: Optional[Trail]
+
+    def steps(self) -> list[str]:
+        """In their order."""
+        steps: list[str] = []
+        at: Optional[Trail] = self
+        while at is not None:
+            steps.append(at.step)
+            at = at.before
+        return steps[::-1]
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a walk found. trail: the fewest steps to a broken invariant; none where it holds in the whole scope."""
+
+    states: int
+    trail: tuple[str, ...]
+    whole: bool  # whether the scope was walked to its end
+    granted: int  # states in which somebody held a part
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """How far to walk."""
+
+    span: int = 4
+    calls: int = 3
+    doubles: int = 0
+    restarts: int = 0
+    bounds: int = 1
+    callers: tuple[int, ...] = (0, 1)
+    rates: tuple[float, float, float] = (1.0 - DRIFT, 1.0 + DRIFT, 1.0)
+    most_states: int = 2_000_000
+
+
+def _copied(dealer: Dealer) -> Dealer:
+    new = Dealer(dealer.who, NODES, dealer.voter.vote_ms, 0.0)
+    new.number = dealer.number
+    new.voter.promised, new.voter.until_ms, new.voter.number = dealer.voter.promised, dealer.voter.until_ms, dealer.voter.number
+    new.candidacy._votes, new.candidacy._calls = dict(dealer.candidacy._votes), dict(dealer.candidacy._calls)
+    new.ledger._out = {bound: {who: list(grants) for who, grants in out.items()} for bound, out in dealer.ledger._out.items()}
+    old = dealer.holdings
+    new.holdings._sent, new.holdings._number = dict(old._sent), old._number
+    new.holdings.leases = {b: Lease(x.parts, x.until_ms, x.size, x.keeper, x.number) for b, x in old.leases.items()}
+    return new
+
+
+def _key(dealer: Dealer, known: dict[int, tuple[int, int]]) -> int:
+    held = tuple((b, x.parts, x.until_ms, x.keeper, x.number) for b, x in sorted(dealer.holdings.leases.items()))
+    out = tuple((b, tuple(sorted((w, tuple(g)) for w, g in o.items()))) for b, o in sorted(dealer.ledger._out.items()))
+    votes, calls, sent = dealer.candidacy._votes.items(), dealer.candidacy._calls.items(), dealer.holdings._sent.items()
+    promise = dealer.voter.promised, dealer.voter.until_ms, dealer.voter.number
+    said = tuple(sorted(votes)), tuple(calls), tuple(sent), tuple(sorted(known.items()))
+    return hash((dealer.who, dealer.number, promise, said, held, out))
+
+
+class Walk:
+    """A walk through one scope."""
+
+    def __init__(self, scope: Scope) -> None:
+        self.scope = scope
+        self.states = self.granted = 0
+
+    def clock(self, node: int, state: State) -> float:
+        """A node's own clock."""
+        return state.at * UNIT * self.scope.rates[node]
+
+    def run(self) -> Outcome:
+        """Walk until the scope ends, or the invariant breaks."""
+        dealers = [Dealer((n, 1), NODES, VOTE * UNIT, -VOTE * UNIT) for n in range(NODES)]
+        keys = [_key(dealer, {}) for dealer in dealers]
+        first = State(0, dealers, [{} for _ in range(NODES)], keys, (), self.scope.calls, self.scope.doubles, self.scope.restarts, None)
+        seen = {self._whole_key(first)}
+        queue = deque([first])
+        while queue:
+            state = queue.popleft()
+            self.states += 1
+            held = [sum(self._held(state, n, bound) for n in range(NODES)) for bound in range(self.scope.bounds)]
+            self.granted += any(held)
+            if max(held) > WHOLE:
+                assert state.trail is not None
+                return Outcome(self.states, tuple(state.trail.steps()), False, self.granted)
+            if self.states >= self.scope.most_states:
+                return Outcome(self.states, (), False, self.granted)
+            for following in self._next(state):
+                key = self._whole_key(following)
+                if key not in seen:
+                    seen.add(key)
+                    queue.append(following)
+        return Outcome(self.states, (), True, self.granted)
+
+    def _whole_key(self, state: State) -> int:
+        return hash((state.at, *state.keys, state.out, state.calls, state.doubles, state.restarts))
+
+    def _held(self, state: State, node: int, bound: int) -> int:
+        lease = state.dealers[node].holdings.lease(bound, self.clock(node, state))
+        return lease.parts if lease is not None else 0
+
+    def _next(self, state: State) -> Iterator[State]:
+        if state.at < self.scope.span:
+            following = self._after(state, "a unit passes")
+            following.at += 1
+            yield following
+        if state.calls:
+            for node in self.scope.callers:
+                following = self._after(state, f"n{node} calls", node)
+                following.calls -= 1
+                if self._call(following, node):
+                    yield self._keyed(following, node)
+        for n, datagram in enumerate(state.out):
+            if n and datagram in state.out[:n]:
+                continue
+            rest = state.out[:n] + state.out[n + 1 :]
+            following = self._after(state, f"{datagram.kind} {datagram.number} of {datagram.sender} comes to n{datagram.to}", datagram.to)
+            following.out = rest
+            self._come(following, datagram)
+            yield self._keyed(following, datagram.to)
+            if state.doubles:
+                again = self._after(state, f"a double of {datagram.kind} {datagram.number} comes to n{datagram.to}", datagram.to)
+                again.doubles -= 1
+                self._come(again, datagram)
+                yield self._keyed(again, datagram.to)
+        if state.restarts:
+            for node in range(NODES):
+                following = self._after(state, f"n{node} is killed and begins anew", node)
+                following.restarts -= 1
+                following.dealers[node] = Dealer((node, 2), NODES, VOTE * UNIT, self.clock(node, state))
+                following.known[node] = {}
+                yield self._keyed(following, node)
+
+    def _after(self, state: State, step: str, node: int = -1) -> State:
+        """A copy of a state in which one node is about to change."""
+        dealers, known = list(state.dealers), list(state.known)
+        if node >= 0:
+            dealers[node], known[node] = _copied(dealers[node]), dict(known[node])
+        trail = Trail(step, state.trail)
+        return State(state.at, dealers, known, list(state.keys), state.out, state.calls, state.doubles, state.restarts, trail)
+
+    def _keyed(self, state: State, node: int) -> State:
+        state.keys[node] = _key(state.dealers[node], state.known[node])
+        return state
+
+    def _put(self, state: State, datagram: Datagram) -> None:
+        state.out = tuple(sorted((*state.out, datagram)))[-MOST_OUT:] if datagram not in state.out else state.out
+
+    def _call(self, state: State, node: int) -> bool:
+        dealer, now = state.dealers[node], self.clock(node, state)
+        if not dealer.call(now):
+            return False
+        hold = dealer.hold_ms(HOLD * UNIT, now)
+        known = state.known[node]
+        granted: dict[int, list[int]] = {}
+        if hold:
+            number = dealer.holdings.replies(now)
+            wants: dict[tuple[int, int], float] = {(other, token): WHOLE for other, (token, _) in known.items()}
+            wants[dealer.who] = WHOLE
+            for bound in range(self.scope.bounds):
+                for who, parts in dealer.ledger.deal(bound, wants, hold, now).items():
+                    granted.setdefault(who[0], []).append(parts)
+                    if who == dealer.who:
+                        dealer.granted(dealer.who, dealer.who[1], dealer.number, number, hold, 1.0, bound, parts, now)
+        for other in range(NODES):
+            if other != node:
+                token, echo = known.get(other, (0, 0))
+                what = (hold, *granted.get(other, ())) if token else (0,)
+                self._put(state, Datagram("call", dealer.who, other, token, dealer.number, echo, what))
+        return True
+
+    def _come(self, state: State, datagram: Datagram) -> None:
+        node = datagram.to
+        dealer, now = state.dealers[node], self.clock(node, state)
+        if datagram.kind == "call":
+            hold, *parts = datagram.what
+            for bound, some in enumerate(parts):
+                dealer.granted(datagram.sender, datagram.token, datagram.number, datagram.echo, hold, 1.0, bound, some, now)
+            vote, void = dealer.called(datagram.sender, datagram.number, now)
+            for other in range(NODES):
+                if void and other != node:
+                    self._put(state, Datagram("back", dealer.who, other, 0, void, 0, ()))
+            number = dealer.holdings.replies(now)
+            reply = Datagram("reply", dealer.who, datagram.sender[0], datagram.sender[1], number, datagram.number, (int(vote),))
+            self._put(state, reply)
+            return
+        if datagram.kind == "back":
+            dealer.voter.release(datagram.sender, datagram.number, now)
+            return
+        sender, token = datagram.sender
+        if datagram.token != dealer.who[1]:
+            return
+        if datagram.what[0]:
+            dealer.voted(sender, datagram.token, datagram.echo)
+        known = state.known[node].get(sender)
+        if known is None or known[0] != token or known[1] < datagram.number:
+            state.known[node][sender] = token, datagram.number
+
+
+def walk(scope: Scope) -> Outcome:
+    """Walk through a scope."""
+    return Walk(scope).run()
--- /dev/null
+++ b/testbed/tier/defects.py
@@ -0,0 +1,129 @@
+"""Defects put into the tier's cores on purpose: the checkers of the invariant are checked by them (tests/tier, `benchmarks.tier`)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, Optional
+from unittest.mock import patch
+
+from forkweir.tier import lending
+from forkweir.tier.lending import Candidacy, Dealer, Holdings, Lease, Ledger, Voter, Who
+
+Patch = Callable[[], Any]
+
+
+def _never_given_back() -> Any:
+    """A lease that has ended is still held."""
+
+    def lease(self: Holdings, bound: int, now: float) -> Optional[Lease]:
+        return self.leases.get(bound)
+
+    return patch.object(Holdings, "lease", lease)
+
+
+def _spent_twice() -> Any:
+    """What a holder is granted less of is given to others at once, though it may not have heard of it."""
+
+    def holders(self: Ledger, bound: int, now: float) -> dict[Who, int]:
+        return {who: grants[-1][1] for who, grants in self._out.get(bound, {}).items() if grants[-1][0] > now}
+
+    return patch.object(Ledger, "holders", holders)
+
+
+def _votes_at_once() -> Any:
+    """A process that has begun promises its vote though the one before it may have."""
+    usual = Voter.__init__
+
+    def begin(self: Voter, vote_ms: float, now: float) -> None:
+        usual(self, vote_ms, now)
+        self.until_ms = now
+
+    return patch.object(Voter, "__init__", begin)
+
+
+def _counts_from_its_coming() -> Any:
+    """A grant counts from when it comes, and not from when the reply that it answers was sent."""
+    usual = Holdings.take
+
+    def take(self: Holdings, keeper: Who, number: int, echo: int, hold_ms: float, size: float, bound: int, parts: int, now: float) -> bool:
+        if echo in self._sent:
+            self._sent[echo] = now
+        return usual(self, keeper, number, echo, hold_ms, size, bound, parts, now)
+
+    return patch.object(Holdings, "take", take)
+
+
+def _trusts_clocks() -> Any:
+    """Nothing is taken off for clocks that run apart."""
+    return patch.object(lending, "HELD", 1.0)
+
+
+def _votes_for_two() -> Any:
+    """A promise is forgotten when another asks."""
+
+    def ask(self: Voter, who: Who, number: int, now: float) -> bool:
+        self.promised, self.until_ms = who, now + self.vote_ms
+        return True
+
+    return patch.object(Voter, "ask", ask)
+
+
+def _late_word() -> Any:
+    """Word that a candidate has stood back frees whoever promised it the vote, whichever call that was for."""
+
+    def release(self: Voter, who: Who, number: int, now: float) -> None:
+        if self.promised == who:
+            self.promised, self.until_ms = None, now
+
+    return patch.object(Voter, "release", release)
+
+
+def _outlasts_its_majority() -> Any:
+    """A keeper grants for as long as ever, however soon the votes end that it has."""
+    usual = Candidacy.stands_until
+
+    def stands_until(self: Candidacy) -> float:
+        until = usual(self)
+        return until + 4.0 * self.vote_ms if until > 0.0 else until
+
+    return patch.object(Candidacy, "stands_until", stands_until)
+
+
+def _half_is_enough() -> Any:
+    """Half of the votes pass for more than half."""
+    return patch.object(lending, "majority", lambda count: max(1, count // 2))
+
+
+def _any_process() -> Any:
+    """A grant for the process before it is taken by the one that has the node's address now."""
+    usual = Dealer.granted
+
+    def granted(self: Dealer, keeper: Who, to: int, *rest: Any) -> bool:
+        return usual(self, keeper, self.who[1], *rest)
+
+    return patch.object(Dealer, "granted", granted)
+
+
+DEFECTS: dict[str, Patch] = {
+    "never-given-back": _never_given_back,
+    "spent-twice": _spent_twice,
+    "votes-at-once": _votes_at_once,
+    "counts-from-its-coming": _counts_from_its_coming,
+    "trusts-clocks": _trusts_clocks,
+    "votes-for-two": _votes_for_two,
+    "outlasts-its-majority": _outlasts_its_majority,
+    "half-is-enough": _half_is_enough,
+    "any-process": _any_process,
+    "late-word": _late_word,
+}
+
+
+@contextmanager
+def planted(name: str) -> Iterator[None]:
+    """With a defect of this name; "" for none. KeyError where there is no such defect."""
+    if not name:
+        yield
+        return
+    with DEFECTS[name]():
+        yield
--- /dev/null
+++ b/tests/tier/test_model.py
@@ -0,0 +1,78 @@
+"""Drawn nights of the protocol: the invariant holds, planted defects break it, and everybody soon has its part."""
+
+from __future__ import annotations
+
+import pytest
+
+from forkweir.tier.lending import WHOLE
+from testbed.tier.defects import planted
+from testbed.tier.model import BOUNDS, Night, Script, Trouble, draw, play
+
+
+def test_two_hundred_drawn_nights_keep_the_whole() -> None:
+    held = 0
+    for seed in range(1, 201):
+        night = Night(draw(seed), seed).run()
+        assert night.failures == [], f"seed {seed}"
+        held += max(night.most.values()) > WHOLE // 2
+    assert held > 120  # in most of them something is dealt
+
+
+@pytest.mark.parametrize(
+    ("defect", "seed"),
+    [
+        ("never-given-back", 1), ("counts-from-its-coming", 1), ("half-is-enough", 2), ("trusts-clocks", 996), ("spent-twice", 12),
+        ("votes-for-two", 6), ("votes-at-once", 22), ("outlasts-its-majority", 127),
+    ],
+)  # fmt: skip
+def test_planted_defects_are_found(defect: str, seed: int) -> None:
+    assert play(seed) == []
+    with planted(defect):
+        assert play(seed)
+
+
+def test_the_same_seed_is_the_same_night() -> None:
+    def told(seed: int) -> tuple[int, int, dict[int, int]]:
+        night = Night(draw(seed), seed).run()
+        return night.datagrams, night.sent_bytes, night.most
+
+    assert told(5) == told(5) != told(6)
+
+
+@pytest.mark.parametrize("count", [4, 12, 37])
+def test_shares_are_even_again_soon_after_half_went_and_came_back(count: int) -> None:
+    """`half` takes the first ones, the one whose vote counts twice among them: of an even number the rest has its floors alone."""
+    script = Script(count, 40.0, troubles=[Trouble(10_000.0, "half", (), 10_000.0)], skewed=False)
+    night = Night(script, 3).run(9_000.0)
+    even = [[node.holds(bound) for node in night.alive()] for bound in BOUNDS]
+    assert all(min(parts) > 0.9 * WHOLE / count for parts in even), even
+    night.run(19_900.0)
+    rest = [[node.holds(bound) for node in night.alive()] for bound in BOUNDS]
+    left = count - count // 2
+    assert all(min(parts) > 0.9 * WHOLE / left for parts in rest) if count % 2 else all(max(parts) == 0 for parts in rest), rest
+    night.run()
+    assert all(min(node.holds(bound) for node in night.alive()) > 0.9 * WHOLE / count for bound in BOUNDS)
+    assert night.failures == []
+
+
+def test_who_wants_without_end_takes_from_nobody_who_wants_its_part() -> None:
+    script = Script(6, 20.0, skewed=False, troubles=[Trouble(8_000.0, "lie", (2,), 0.0)])
+    night = Night(script, 4).run()
+    for bound in BOUNDS:
+        honest = [node.holds(bound) for node in night.nodes if node.tier.slot != 2]
+        assert min(honest) >= 0.99 * WHOLE / 6, honest
+    sizes = max(node.tier.sizes[0] for node in night.nodes)
+    assert sizes <= 6.0 + 4.0  # it counts for four times the median at most
+
+
+def test_a_cut_in_halves_leaves_one_keeper_and_ends_in_one() -> None:
+    script = Script(7, 40.0, skewed=False, troubles=[Trouble(8_000.0, "cut", (0, 1, 2), 15_000.0)])
+    night = Night(script, 2).run(21_000.0)
+    keepers = [node.tier.slot for node in night.nodes if node.tier.keeps(node.now)]
+    assert len(keepers) == 1 and keepers[0] >= 3
+    assert [node.holds(0) for node in night.nodes[:3]] == [0, 0, 0]
+    assert min(node.holds(0) for node in night.nodes[3:]) > 0.9 * WHOLE / 4
+    night.run()
+    assert len([node for node in night.nodes if node.tier.keeps(node.now)]) == 1
+    assert min(node.holds(0) for node in night.nodes) > 0.9 * WHOLE / 7
+    assert night.failures == []
--- /dev/null
+++ b/tests/tier/test_tier_members.py
@@ -0,0 +1,85 @@
+"""Who takes part: the table of states, incarnations, and what a node that is slow itself believes of others."""
+
+from __future__ import annotations
+
+from forkweir.tier.members import STATES, Members
+from testbed.tier.model import Night, Script, Trouble
+
+ALIVE, SUSPECT, DEAD, LEFT = range(4)
+
+
+def members(count: int = 5) -> Members:
+    return Members(0, count, 1_000, 1, 500.0, 0.0)
+
+
+def test_states_move_by_newer_incarnations_and_within_one_only_forward() -> None:
+    m = members()
+    assert m.state(1) == "unknown" and m.there() == [0]
+    m.told(((1, 50, ALIVE), (9, 1, ALIVE)), 10.0)  # the second is no node of this tier
+    assert m.state(1) == "alive"
+    m.told(((1, 50, SUSPECT),), 20.0)
+    m.told(((1, 50, ALIVE),), 30.0)  # old news of the same incarnation
+    assert m.state(1) == "suspect" and m.there() == [0, 1]
+    m.told(((1, 51, ALIVE),), 40.0)  # it refuted
+    assert m.state(1) == "alive"
+    m.told(((1, 50, DEAD),), 50.0)
+    assert m.state(1) == "alive"
+    m.told(((1, 51, DEAD),), 60.0)
+    assert m.state(1) == "dead" and m.there() == [0]
+    assert not m.heard(1, 50, 7, 70.0)  # a datagram of the process before, long on its way
+    assert m.heard(1, 51, 7, 80.0) and m.state(1) == "alive"
+    m.left(1, 51, 90.0)
+    assert m.state(1) == "left"
+    assert m.heard(1, 52, 8, 95.0) and m.state(1) == "alive"  # started again
+
+
+def test_a_node_refutes_and_is_newer_than_whatever_is_said_of_it() -> None:
+    m = members()
+    m.told(((0, 1_000, SUSPECT),), 10.0)
+    assert m.incarnation == 1_001 and m.news(3)[0] == (0, 1_001, ALIVE)
+    m.told(((0, 900, DEAD),), 20.0)
+    assert m.incarnation == 1_001
+    m.told(((0, 5_000, ALIVE),), 30.0)  # of a process before this one, whose clock was ahead
+    assert m.incarnation == 5_001
+
+
+def test_one_that_does_not_answer_is_asked_for_by_others_then_suspect_then_dead_and_told_of_it() -> None:
+    m = members(3)
+    m.told(((1, 5, ALIVE), (2, 5, ALIVE)), 0.0)
+    asked, relayed, now = set[int](), set[int](), 0.0
+    while m.state(1) != "dead":
+        for question in m.tick(now):
+            (relayed if question.relay >= 0 else asked).add(question.to)
+            if question.to == 2 and question.relay < 0:
+                m.answered(question.number)  # the second one does, the first never
+        if m.state(1) == "suspect":
+            assert (1, 5, SUSPECT) in m.news(1)
+        now += 125.0
+        assert now < 12_000.0
+    assert asked == {1, 2} and relayed == {1} and m.state(2) == "alive"
+    assert any(question.to == 1 for n in range(40) for question in m.tick(now + 125.0 * n))  # it is asked now and then all the same
+
+
+def test_a_node_that_stood_still_holds_its_own_pause_against_nobody() -> None:
+    m = members(3)
+    m.told(((1, 5, ALIVE), (2, 5, ALIVE)), 0.0)
+    for n in range(4):
+        m.tick(125.0 * n)
+    m.tick(10_000.0)  # whatever was out is taken back
+    assert {m.state(1), m.state(2)} == {"alive"} and m.slowness == 2
+    usual = members(3).suspicion_ms
+    assert m.suspicion_ms == 2.0 * usual
+
+
+def test_a_death_is_known_everywhere_soon_and_a_pause_of_a_second_and_a_half_is_none() -> None:
+    """Of 37 nodes: the bounds of docs/tier.md, on one night."""
+    script = Script(37, 30.0, troubles=[Trouble(10_000.0, "kill", (5,), 0.0), Trouble(20_000.0, "pause", (9,), 1_500.0)])
+    night = Night(script, 1)
+    known: dict[tuple[int, str], list[float]] = {}
+    night.on_change = lambda by, slot, state: known.setdefault((slot, state), []).append(night.now)
+    night.run()
+    died = known[5, "dead"]
+    assert len(died) == 36 and max(died) < 17_000.0, died
+    assert not [key for key in known if key[1] == "dead" and key[0] != 5]
+    assert set(STATES) >= {state for _, state in known}
+    assert not night.failures
--- /dev/null
+++ b/tests/tier/test_wire.py
@@ -0,0 +1,118 @@
+"""Datagrams: both ways, never over 256 bytes, and whatever else comes is told apart without harm."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from forkweir.tier import wire
+from forkweir.tier.claims import FETCHES, Claims, id_of
+from forkweir.tier.lending import WHOLE, Holdings
+from forkweir.tier.options import Options
+from forkweir.tier.tier import Tier
+
+TOP = 0xFFFFFFFF
+HEAD = (wire.FORMAT, TOP, wire.MOST_NODES - 1, TOP, TOP)
+NEWS = tuple((wire.MOST_NODES - 1, TOP, 3) for _ in range(wire.NEWS))
+WANTS = tuple((TOP, wire.LARGEST) for _ in range(wire.ENTRIES))
+GRANTS = tuple((TOP, 0xFFFF) for _ in range(wire.ENTRIES))
+SCALE = (wire.LARGEST, wire.LARGEST)
+LARGEST: list[wire.Message] = [
+    wire.Ping(*HEAD, TOP, True, NEWS),
+    wire.Ack(*HEAD, TOP, NEWS),
+    wire.Relay(*HEAD, TOP, wire.MOST_NODES - 1, NEWS),
+    wire.Call(*HEAD, TOP, TOP, True, TOP, 0xFFFF, SCALE, GRANTS),
+    wire.Reply(*HEAD, TOP, TOP, TOP, True, SCALE, WANTS),
+    wire.Leave(*HEAD),
+    wire.Back(*HEAD, TOP),
+]
+
+
+@pytest.mark.parametrize("message", LARGEST, ids=lambda message: type(message).__name__)
+def test_the_largest_fits_and_comes_back_as_it_was(message: wire.Message) -> None:
+    data = wire.encode(message)
+    assert len(data) <= wire.MOST and wire.decode(data) == message
+    for size in range(len(data)):
+        with pytest.raises(wire.Malformed):
+            wire.decode(data[:size])
+    with pytest.raises(wire.Malformed):
+        wire.decode(data + b"\x00")
+
+
+def test_twenty_thousand_mutations_bring_the_one_error_or_a_message() -> None:
+    rng = random.Random(5)
+    tier = Tier(0, 4, 1, 1, 0.0)
+    seeds = [wire.encode(message) for message in LARGEST] + [data for _, data in Tier(1, 4, 2, 9, 0.0).tick(0.0)]
+    good = 0
+    for _ in range(20_000):
+        data = bytearray(rng.choice(seeds))
+        for _ in range(rng.choice((1, 1, 2, 5))):
+            at = rng.randrange(len(data))
+            data[at : at + rng.choice((0, 1, 1, 3))] = rng.randbytes(rng.choice((0, 1, 1, 2)))
+        try:
+            wire.decode(bytes(data))
+            good += 1
+        except wire.Malformed:
+            pass
+        tier.receive(rng.randrange(-1, 5), bytes(data), 10.0)  # a node bears it too
+    assert 1_000 < good < 19_000
+    assert tier.counts["in"] == 20_000
+    assert min(tier.counts[why] for why in ("malformed", "foreign", "stranger")) > 500
+
+
+def test_amounts_travel_within_four_in_a_thousand_and_nothing_is_endless() -> None:
+    for amount in (1e-5, 0.003, 0.7, 12.0, 5e4, 3e6):
+        assert wire.unscaled(wire.scaled(amount)) == pytest.approx(amount, rel=0.05 if amount < 1e-4 else 0.004)
+    assert wire.scaled(float("inf")) == wire.scaled(1e300) == wire.LARGEST
+    assert wire.scaled(float("nan")) == wire.scaled(-1.0) == wire.scaled(0.0) == 0
+
+
+def test_a_tier_that_counts_otherwise_is_told_apart_and_stops_the_dealing() -> None:
+    tier = Tier(0, 4, 1, 1, 0.0)
+    for other in (Tier(1, 5, 2, 1, 0.0), Tier(1, 4, 2, 1, 0.0, Options(floor=0.25)), Tier(1, 4, 2, 1, 0.0, tier=1)):
+        tier.receive(1, other.tick(0.0)[0][1], 10.0)
+    assert tier.counts["foreign"] == 3 and tier.disagrees(20.0) and not tier.disagrees(20.0 + tier.vote_ms)
+    tier.receive(2, Tier(1, 4, 2, 1, 0.0).tick(0.0)[0][1], 9_000.0)  # from an address that is another's by our list
+    assert tier.counts["impostor"] == 1 and tier.disagrees(9_001.0)
+
+
+def claims(floor: float = 0.5) -> tuple[Claims, Holdings]:
+    holdings = Holdings()
+    return Claims(floor, holdings), holdings
+
+
+def test_a_node_that_hears_nobody_has_its_floor_and_with_a_lease_its_part_of_the_whole_tier() -> None:
+    c, holdings = claims()
+    c.wants_work("box-1", 40.0, 0.0)
+    assert c.work("box-1", 0.8, 0.0) == pytest.approx(0.4) and c.fetches(20.0, 0.0) == pytest.approx(10.0)
+    number = holdings.replies(0.0)
+    holdings.take((3, 1), 1, number, 2_000.0, 4.0, id_of("box-1"), WHOLE // 4, 10.0)
+    holdings.take((3, 1), 2, number, 2_000.0, 80.0, FETCHES, WHOLE // 2, 10.0)
+    assert c.work("box-1", 0.8, 20.0) == pytest.approx(0.4 + 0.5 * 0.25 * 4.0)
+    assert c.fetches(20.0, 20.0) == pytest.approx(10.0 + 0.5 * 0.5 * 80.0)
+    assert c.work("box-2", 0.8, 20.0) == pytest.approx(0.4)
+    assert c.work("box-1", 0.8, 2_000.0) == pytest.approx(0.4)
+
+
+def test_wants_are_told_beyond_the_floor_in_the_unit_of_ones_own_and_forgotten() -> None:
+    c, _ = claims()
+    c.own_work = 0.01
+    for n in range(100):
+        c.wants_work("box-1", 20.0, 30.0 * n)  # 0.667 a ms
+        c.wants_fetches(0.5, 200.0, 30.0 * n)  # 3.3 in flight
+    told = dict(c.wanted(3_000.0))
+    assert told[id_of("box-1")] == pytest.approx(0.667 - 0.005, rel=0.15)
+    assert told[FETCHES] == pytest.approx(3.3, rel=0.15)
+    assert c.names()[str(id_of("box-1"))] == "box-1"
+    assert c.wanted(60_000.0) == [] and c.names() == {}
+
+
+def test_two_servers_of_one_id_are_dealt_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("forkweir.tier.claims.id_of", lambda server: 5)
+    c, holdings = claims()
+    c.wants_work("a", 20.0, 0.0)
+    c.wants_work("b", 20.0, 0.0)
+    holdings.take((3, 1), 1, holdings.replies(0.0), 2_000.0, 4.0, 5, WHOLE, 10.0)
+    assert c.wanted(100.0) == []
+    assert c.work("a", 1.0, 100.0) == c.work("b", 1.0, 100.0) == pytest.approx(0.5)
