A rig of real processes with relays between nodes; nodes take part where the settings allow it

Need: what many nodes do together is shown by processes with faults between them, and on the virtual clock by the same script.

Change: corkshift/tier carries the datagrams on the node's loop (one UDP socket, one timer); [tier] of the operator's file; peers and peer_listen are read and checked; /admin/tier and `tier show`. testbed/tier/processes starts real nodes, discovery, boxes, the order book and clients on loopback, with a relay for every ordered pair of nodes; `tier run SCRIPT [--virtual] [--json]`. Scripts of nights have tier, nodes and eight kinds of fault more; worlds take up to 250 nodes and boxes. Rule 9 of the nights: shares add up.

--- a/corkshift/admin/server.py
+++ b/corkshift/admin/server.py
@@ -39,6 +39,10 @@
         """Where operators call."""
         return self._listener.address
 
+    def offer(self, path: str, tell: Callable[[], bytes]) -> None:
+        """One more call that only tells: JSON."""
+        self._calls[path] = "GET", lambda: (200, tell().decode() + "\n")
+
     def start(self) -> None:
         """Listen."""
         self._listener.start()
--- a/corkshift/cli/commands.py
+++ b/corkshift/cli/commands.py
@@ -80,6 +80,34 @@
     return check(operator, as_json)
 
 
+@_root.group()
+def tier() -> None:
+    """Many nodes as one: who takes part, and what each has of their common bounds."""
+
+
+@tier.command("show")
+@click.argument("addresses", nargs=-1, required=True)
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def tier_show(addresses: tuple[str, ...], as_json: bool) -> int:
+    """Ask running nodes at their operators' addresses (admin_addr); exits with 1 where one does not answer, or parts sum to too much."""
+    from corkshift.cli.tier import show
+
+    return show(addresses, as_json)
+
+
+@tier.command("run")
+@click.argument("script")
+@click.option("--seed", type=int, default=1, show_default=True, metavar="N")
+@click.option("--virtual", is_flag=True, help="On the virtual clock in place of real processes.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+@click.option("--logs", metavar="DIR", help="Keep the nodes' logs and configurations there.")
+def tier_run(script: str, seed: int, virtual: bool, as_json: bool, logs: Optional[str]) -> int:
+    """Play a script with real nodes on loopback and faults between them; exits with 1 where a rule is broken."""
+    from corkshift.cli.tier import run
+
+    return run(script, seed, virtual, as_json, logs)
+
+
 _root.add_command(sim)
 
 
--- a/corkshift/cli/nodefile.py
+++ b/corkshift/cli/nodefile.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from corkshift.cli.schema import Fault, Table
-from corkshift.config import address_of
+from corkshift.config import address_of, ipv4_of
 
 Millis = Annotated[float, msgspec.Meta(ge=0.0, le=86_400_000.0)]
 Some = Annotated[int, msgspec.Meta(ge=1)]
@@ -49,6 +49,7 @@
     max_retry_after_ms: Millis = 0.0
     dial_timeout_ms: Millis = 250.0
     conn_idle_ms: Millis = 15_000.0
+    peers: bool = False
 
 
 class Contract(Table, frozen=True, kw_only=True, rename="camel"):
@@ -67,6 +68,7 @@
     discovery: str = ""
     allowed: Optional[Allowed] = None
     contract: Optional[Contract] = None
+    slot_no: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(name="slotNo", default=0)
 
     def contradictions(self) -> Iterator[Fault]:
         names = [service.name for service in self.services]
@@ -94,8 +96,26 @@
     limits: Optional[Limits] = None
     known: Optional[dict[str, Any]] = None
     settings: Options
+    peer_listen: Optional[str] = None
+    peers: list[str] = []
+    peers_all: Optional[str] = None
+
+    def _neighbours(self) -> Iterator[Fault]:
+        for key, text in (("peer_listen", self.peer_listen), *((f"peers[{n}]", text) for n, text in enumerate(self.peers))):
+            if text is not None:
+                try:
+                    ipv4_of(text)
+                except ValueError:
+                    yield Fault(key, f"an IPv4 address and a port (10.0.0.4:7946), got {text!r:.60}")
+        for n, text in enumerate(self.peers):
+            if text in self.peers[:n]:
+                yield Fault(f"peers[{n}]", f"stands there twice: {text}")
+        if self.peers and self.settings.slot_no >= len(self.peers):
+            yield Fault("settings.slotNo", f"must be one of the {len(self.peers)} peers, from 0, got {self.settings.slot_no}")
 
     def contradictions(self) -> Iterator[Fault]:
+        if self.settings.allowed is not None and self.settings.allowed.peers:
+            yield from self._neighbours()
         for key, text in (("listen", self.listen), ("admin_addr", self.admin_addr), ("discovery", self.discovery)):
             if text is not None:
                 try:
--- a/corkshift/cli/operator.py
+++ b/corkshift/cli/operator.py
@@ -11,6 +11,7 @@
 from corkshift import seam
 from corkshift.cli.schema import Fault, Table, examine
 from corkshift.sources.options import SourcesTable
+from corkshift.tier.options import TierTable
 
 Count = Annotated[int, msgspec.Meta(ge=1, le=256)]
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
@@ -49,6 +50,7 @@
     format: Literal[1]
     demo: Optional[Demo] = None
     sources: Optional[SourcesTable] = None
+    tier: Optional[TierTable] = None
 
 
 def parse(text: bytes, path: str) -> Operator:
--- a/corkshift/config.py
+++ b/corkshift/config.py
@@ -19,6 +19,16 @@
     """The configuration is missing or malformed."""
 
 
+@dataclass(frozen=True, slots=True)
+class Neighbours:
+    """The other nodes of the tier, where the settings let nodes send one another datagrams."""
+
+    listen: Address  # where datagrams arrive
+    peers: tuple[Address, ...]  # of each node of the tier, this one among them, as this node has to address them
+    slot: int  # which of them is this one
+    tier: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What the node is told at its start."""
@@ -37,6 +47,7 @@
     drain_grace_ms: float
     admin: Optional[Address] = None  # the operators' address; none: off
     socket_fd: Optional[int] = None  # of the clients' listening socket, where the platform holds it
+    neighbours: Optional[Neighbours] = None  # none: this node talks to no other
 
 
 def address_of(text: str) -> Address:
@@ -97,9 +108,21 @@
         drain_grace_ms=float(contract.get("stopSendingWithinMs") or 250.0),
         admin=address_of(admin) if admin else None,
         socket_fd=_descriptor(descriptor) if descriptor else None,
+        neighbours=_neighbours(data, options) if allowed.get("peers") and data.get("peer_listen") and data.get("peers") else None,
     )
 
 
+def _neighbours(data: dict[str, Any], options: dict[str, Any]) -> Neighbours:
+    """Who else is of this node's tier. ValueError where an address is no IPv4 address or stands there twice, or this node is not there."""
+    peers = tuple(ipv4_of(text) for text in data["peers"])
+    slot = int(options.get("slotNo") or 0)
+    if not 0 <= slot < len(peers):
+        raise ValueError(f"slotNo: {slot} is none of {len(peers)} peers")
+    if len(set(peers)) < len(peers):
+        raise ValueError("peers: an address stands there twice")
+    return Neighbours(ipv4_of(data["peer_listen"]), peers, slot, int(options.get("tier") or 0))
+
+
 def _descriptor(text: str) -> int:
     """The number of an inherited descriptor (0 to 2 are the standard streams)."""
     if not (text.isascii() and text.isdigit() and 2 < int(text) < 1 << 20):
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from typing import Optional
+from typing import TYPE_CHECKING, Optional
 
 from corkshift.config import Config
 from corkshift.messages import Answer, Call
@@ -13,6 +13,9 @@
 from corkshift.upstream import Attempt, CacheServer, Outcome, Pool
 from forkweir import Action, Balancer, Server
 
+if TYPE_CHECKING:
+    from forkweir.tier.tier import Tier
+
 log = logging.getLogger(__name__)
 
 ID_MEMORY_MS = 5_000.0  # longer than any request is open
@@ -56,6 +59,12 @@
         """How many requests have been taken and have no final answer yet."""
         return len(self._calls) + len(self._streams)
 
+    def join(self, tier: Tier) -> None:
+        """From now on this node has its parts of the bounds of a tier."""
+        from forkweir.tier.seat import Seat
+
+        Seat(self._balancer, tier)
+
     def avoided(self) -> int:
         """How many of the listed cache servers get nothing now because of how they did."""
         return self._balancer.fleet.avoided(now_ms())
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -21,6 +21,8 @@
     from corkshift.admin import Admin
     from corkshift.sources.hub import Sources
     from corkshift.sources.options import SourcesTable
+    from corkshift.tier.carrier import Carrier
+    from corkshift.tier.options import TierTable
 
 log = logging.getLogger("corkshift")
 
@@ -35,8 +37,10 @@
         config: Config,
         sources: Optional[SourcesTable] = None,
         reread: Callable[[], Optional[SourcesTable]] = lambda: None,
+        tier: Optional[TierTable] = None,
     ) -> None:
-        """sources: what an operator's file has of them, and reread: the same when the file is read again (ValueError if it is bad)."""
+        """sources: what an operator's file has of them, and reread: the same when the file is read again (ValueError if it is bad).
+        tier: what it has of other nodes."""
         # Descriptors: seven sixteenths for cache servers, nine for clients, after a reserve for all else (a dozen are in use).
         # Each open request holds one of either kind, and clients have others that rest.
         sockets = max(16, config.sockets - min(24, config.sockets // 4))
@@ -55,12 +59,21 @@
             self.sources = Sources(self.node, self.pool, sources, config.seed)
         self.discovery = Discovery(self.sources.box_list if self.sources else self.node, self.pool, config.discovery)
         self.node.follow = self.discovery.follow
+        self.tier: Optional[Carrier] = None
+        if config.neighbours is not None and (tier is None or tier.on):
+            # Only where the settings let nodes talk to one another: what is off costs nothing.
+            from corkshift.tier.carrier import Carrier
+            from corkshift.tier.options import TierTable
+
+            self.tier = Carrier(self.node, config.neighbours, tier or TierTable())
         self.admin: Optional[Admin] = None
         if config.admin is not None:
             # Only where there is an address: what is off costs nothing.
             from corkshift.admin import Admin, Status
 
             self.admin = Admin(Status(self.node, self.frontend, self.discovery, self.figures), config.admin)
+            if self.tier is not None:
+                self.admin.offer("/admin/tier", self.tier.view)
         self._stop = asyncio.Event()
 
     @property
@@ -83,6 +96,8 @@
         self.discovery.start(self.config.known)
         if self.sources is not None:
             self.sources.start()
+        if self.tier is not None:
+            self.tier.start()
         self.frontend.start()
         if self.admin is not None:
             self.admin.start()
@@ -90,6 +105,8 @@
         await self.frontend.drain()
         if self.sources is not None:
             self.sources.close()
+        if self.tier is not None:
+            self.tier.close()
         if self.admin is not None:
             self.admin.close()
 
@@ -110,7 +127,7 @@
             log.error("reload: %s; the old configuration stays in force", error)
             return
         log.info("reload: discovery is at %s:%d", *fresh.discovery)
-        if any(getattr(fresh, name) != getattr(config, name) for name in ("known", "settings", "listen", "admin")):
+        if any(getattr(fresh, name) != getattr(config, name) for name in ("known", "settings", "listen", "admin", "neighbours")):
             log.info("reload: what else has changed waits for the next start")
         self.discovery.move(fresh.discovery)
         if self.sources is not None:
@@ -124,7 +141,10 @@
 
 
 async def run(
-    config: Config, sources: Optional[SourcesTable] = None, reread: Callable[[], Optional[SourcesTable]] = lambda: None
+    config: Config,
+    sources: Optional[SourcesTable] = None,
+    reread: Callable[[], Optional[SourcesTable]] = lambda: None,
+    tier: Optional[TierTable] = None,
 ) -> None:
     """Serve until SIGTERM or SIGINT, then drain. OSError where it cannot listen. The rest as `Service` has it."""
-    await Service(config, sources, reread).run()
+    await Service(config, sources, reread, tier).run()
--- a/corkshift/start.py
+++ b/corkshift/start.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from corkshift.sources.options import SourcesTable
+    from corkshift.tier.options import TierTable
 
 OPERATOR = "GRADESHIFT_OPERATOR"
 
@@ -27,12 +28,14 @@
         return 2
     operator = operator or environ.get(OPERATOR)
     sources: Optional[SourcesTable] = None
+    tier: Optional[TierTable] = None
     if operator:
         # Only where there is a file: what is off costs nothing.
         from corkshift.cli.operator import BadOperatorFile, read
 
         try:
-            sources = read(operator).sources
+            file = read(operator)
+            sources, tier = file.sources, file.tier
         except BadOperatorFile as error:
             print(f"corkshift: {error}", file=sys.stderr)
             return 2
@@ -43,7 +46,7 @@
         return read(operator).sources if operator else None
 
     try:
-        process.play(run(config, sources, reread))
+        process.play(run(config, sources, reread, tier))
     except OSError as error:
         print(f"corkshift: cannot listen: {error.strerror or error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/corkshift/tier/options.py
@@ -0,0 +1,22 @@
+"""`[tier]` of the operator's file."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from corkshift.cli.schema import Table
+from forkweir.tier.options import FLOOR, PERIOD_MS, Options
+
+
+class TierTable(Table, frozen=True, kw_only=True):
+    """`[tier]`: what a node shares with the others, where the settings let nodes talk to one another. The same at all nodes of a tier."""
+
+    on: bool = True
+    floor: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = FLOOR  # of its own part of each bound: what a node has that hears nobody
+    period_ms: Annotated[float, msgspec.Meta(ge=50.0, le=10_000.0)] = PERIOD_MS  # between two questions, and two beats of a keeper
+
+    def options(self) -> Options:
+        """In the terms of the tier."""
+        return Options(self.floor, self.period_ms)
--- a/testbed/machine/net.py
+++ b/testbed/machine/net.py
@@ -638,6 +638,10 @@
                 due += rng.randrange(link.late_us + 1)
             self.loop.after_us(due - self.loop.now_us, self._datagram, data, sock.local, address)
 
+    def throw(self, sender: Address, address: Address, data: bytes) -> None:
+        """A datagram of whoever forges its sender arrives now."""
+        self._datagram(data, sender, address)
+
     def _datagram(self, data: bytes, sender: Address, address: Address) -> None:
         target = self.host(address[0]).bound.get(("datagram", address[1]))
         if target is None or not self.reaches(sender[0], address[0]) or target.datagram_size + len(data) > DATAGRAMS:
--- a/testbed/machine/parts.py
+++ b/testbed/machine/parts.py
@@ -29,6 +29,10 @@
         """Whether it has been started and has not ended."""
         ...
 
+    def now_ms(self) -> float:
+        """Its own clock."""
+        ...
+
     def hold(self, handle: asyncio.Handle) -> None:
         """What would have run while it stands still waits."""
         ...
--- a/testbed/nights/rules.py
+++ b/testbed/nights/rules.py
@@ -13,6 +13,10 @@
 7. A node's set is never empty while any source named a box that the list did not say drains or is gone.
 8. Nothing is dialed that no source ever named.
 
+Where nodes may talk to one another, also:
+
+9. The parts of a bound of the tier that its nodes believe they may spend, also those that stand still, sum to the whole at most.
+
 The witness sees only what a stand-in, a client or the network's wire shows; the books are read in the node itself.
 """
 
@@ -26,6 +30,8 @@
 from corkshift.discovery import FADING_MOST
 from corkshift.service import Service
 from corkshift.sources.dns import AT_ONCE
+from corkshift.tier.carrier import Carrier
+from forkweir.tier.lending import WHOLE, Lease
 from testbed.machine.net import VirtualSocket
 from testbed.machine.parts import Owner
 from testbed.systems.clients import Ask, Observer
@@ -107,6 +113,8 @@
         self._dialed: dict[Owner, int] = {}
         self._accepted: dict[Owner, int] = {}
         self._seen: set[tuple[str, str]] = set()
+        self.leases = 0  # that were taken,
+        self.most_held: dict[int, int] = {}  # and the most parts of each bound that were held at once
 
     def broken(self, rule: str, what: str) -> None:
         """Note a broken rule, once for each thing it is about."""
@@ -304,6 +312,30 @@
             elif self._now() - since > GRACE_US and not process.stood_still(since, self._now()):
                 self.broken("never empty", f"{process.name} has no server in service though {min(left)} was never taken away")
 
+    # -- the tier ------------------------------------------------------------------------
+
+    def joins(self, process: Owner, carrier: Carrier) -> None:
+        """A node takes part in the tier: rule 9 is looked at whenever it takes a lease, as a sum can rise at no other moment."""
+        holdings, told = carrier.tier.dealer.holdings, carrier.tier.dealer.holdings.on_take
+
+        def took(bound: int, lease: Lease, now: float) -> None:
+            told(bound, lease, now)
+            self.leases += 1
+            self._shares(bound)
+
+        holdings.on_take = took
+
+    def _shares(self, bound: int) -> None:
+        held = {}
+        for process, service in self.services.items():
+            if process.alive and service.tier is not None:
+                lease = service.tier.tier.dealer.holdings.lease(bound, process.now_ms())
+                if lease is not None:
+                    held[process.name] = lease.parts
+        self.most_held[bound] = max(self.most_held.get(bound, 0), sum(held.values()))
+        if sum(held.values()) > WHOLE:
+            self.broken("shares add up", f"of bound {bound} {held} are held, {WHOLE} in all")
+
     # -- the wire ------------------------------------------------------------------------
 
     def wire(self, sock: VirtualSocket, piece: bytes, asked: int) -> None:
@@ -377,6 +409,7 @@
         """Shortly after the last answer no timer of a request is left. timers: how many each process has."""
         for process in self.services:
             most = IDLE_TIMERS + (SOURCES_TIMERS if self.services[process].sources is not None else 0)
+            most += self.services[process].tier is not None  # its tick
             if process.state == "running" and timers.get(process, 0) > most:
                 self.broken("books", f"{process.name} at rest holds {timers[process]} timers")
 
--- a/testbed/nights/script.py
+++ b/testbed/nights/script.py
@@ -13,6 +13,8 @@
 from corkshift.cli.schema import Table, examine
 
 Few = Annotated[int, msgspec.Meta(ge=1, le=64)]
+Many = Annotated[int, msgspec.Meta(ge=1, le=250)]
+Place = Annotated[int, msgspec.Meta(ge=0, lt=250)]
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Millis = Annotated[float, msgspec.Meta(ge=0.0, le=600_000.0)]
 
@@ -24,6 +26,7 @@
     "box_lie", "flush", "load_step",
     "discovery_spoil", "discovery_refuse", "discovery_mute", "discovery_drop",
     "dns_how", "dns_stale", "dns_odd", "node_blank",
+    "peer_cut", "peer_oneway", "peer_loss", "peer_late", "peer_double", "peer_junk", "node_join", "node_other",
 ]  # fmt: skip
 DRAWN: tuple[Kind, ...] = Kind.__args__[:30]  # type: ignore[attr-defined]  # of every night; the others come with hard nights alone
 MISSED: tuple[Kind, ...] = ("discovery_refuse", "discovery_mute", "discovery_down", "discovery_drop", "discovery_silent")
@@ -33,8 +36,11 @@
 SOURCED_FROM = 20_000_001  # and from this one on nights on which nodes ask DNS too, and sources fail and disagree
 HALF_A_LINE, NO_LIST = 7.0, 0.0  # values of discovery_wrong
 FRAMING = 5  # of the ways to spoil a line (`standins.SPOIL_HOWS`)
+BETWEEN = ("peer_cut", "peer_oneway", "peer_loss", "peer_late", "peer_double")  # faults of what goes from node to node
 TARGETS: dict[str, str] = {
-    kind: "node" if kind.startswith(("node", "clock", "rude", "trip_client")) else "box" if kind.startswith(("box", "trip")) else "any"
+    kind: "node"
+    if kind.startswith(("node", "clock", "rude", "trip_client", "peer_junk"))
+    else "box" if kind.startswith(("box", "trip")) else "any"
     for kind in Kind.__args__  # type: ignore[attr-defined]
 }  # fmt: skip
 
@@ -51,8 +57,8 @@
     """`[world]`: sizes, load and network."""
 
     seconds: Annotated[float, msgspec.Meta(gt=0.0, le=3_600.0)] = 4.0
-    nodes: Few = 2
-    boxes: Few = 5
+    nodes: Many = 2
+    boxes: Many = 5
     cores: Few = 2  # of a box
     requests_per_s: Annotated[float, msgspec.Meta(gt=0.0, le=5_000.0)] = 60.0
     keys: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 120
@@ -63,6 +69,7 @@
     worths: Literal["equal", "site"] = "equal"  # of the classes: all the same, or as the brief has them
     ask_within_ms: Annotated[float, msgspec.Meta(gt=0.0, le=60_000.0)] = 2_000.0  # how long a node may go without discovery
     sources: Literal["list", "dns"] = "list"  # what nodes learn of boxes from: the box list alone, or DNS SRV beside it
+    tier: Literal["off", "on"] = "off"  # whether nodes may send one another datagrams
 
 
 class Fault(Table, frozen=True, kw_only=True):
@@ -70,13 +77,20 @@
 
     at_ms: Millis
     kind: Kind
-    target: Annotated[int, msgspec.Meta(ge=0, le=63)] = 0  # which box or node
+    target: Place = 0  # which box or node
+    nodes: list[Place] = []  # in its place, for faults of nodes: all of these; of what goes between nodes: one side, none for all
     for_ms: Millis = 0.0  # 0: for good, where it lasts at all
     value: float = 0.0  # a share, a factor, a count or a byte, by kind
 
     def contradictions(self) -> Iterator[Wrong]:
         if self.kind in ("link_loss", "link_cut") and not self.for_ms:
             yield Wrong("for_ms", f"a {self.kind} must end, or what is on the way is never settled")
+        if self.kind in BETWEEN and not self.for_ms:
+            yield Wrong("for_ms", f"a {self.kind} must end")
+        if self.kind in ("peer_cut", "peer_oneway") and not self.nodes:
+            yield Wrong("nodes", f"a {self.kind} needs the nodes of one side")
+        if self.kind in ("peer_loss", "peer_double") and not 0.0 < self.value <= 1.0:
+            yield Wrong("value", f"a share over 0 and up to 1, got {self.value:g}")
         if self.kind == "link_loss" and not 0.0 <= self.value <= 0.5:
             yield Wrong("value", f"a share of lost segments from 0 to 0.5, got {self.value:g}")
 
@@ -92,6 +106,11 @@
             limit = {"node": self.world.nodes, "box": self.world.boxes}.get(TARGETS[fault.kind], 64)
             if fault.target >= limit:
                 yield Wrong(f"fault[{n}].target", f"the world has only {limit} of them, from 0, got {fault.target}")
+            for m, node in enumerate(fault.nodes):
+                if node >= self.world.nodes:
+                    yield Wrong(f"fault[{n}].nodes[{m}]", f"the world has only {self.world.nodes} of them, from 0, got {node}")
+            if (fault.kind in BETWEEN or fault.kind in ("peer_junk", "node_other")) and self.world.tier == "off":
+                yield Wrong(f"fault[{n}].kind", f'a {fault.kind} needs tier = "on" in [world]')
 
 
 def parse_script(text: bytes) -> Script:
@@ -105,6 +124,13 @@
     return msgspec.convert(data, Script)
 
 
+def each(fault: Fault) -> list[Fault]:
+    """A fault of many nodes as one of each; all others as they are."""
+    if not fault.nodes or TARGETS[fault.kind] != "node":
+        return [fault]
+    return [msgspec.structs.replace(fault, target=node, nodes=[]) for node in fault.nodes]
+
+
 def written(script: Script) -> str:
     """A script as TOML, which `parse_script` reads back to the same."""
     lines = ["[world]"]
--- a/testbed/nights/simulation.py
+++ b/testbed/nights/simulation.py
@@ -18,13 +18,13 @@
 from corkshift.service import Service
 from corkshift.sources.options import DnsTable, SourcesTable
 from testbed.machine.loop import Deadlock, Livelock, VirtualLoop, owner_of
-from testbed.machine.net import Network, Trip, VirtualSocket
+from testbed.machine.net import Link, Network, Trip, VirtualSocket
 from testbed.machine.parts import Owner
 from testbed.machine.process import EPOCH_MS, Process
 from testbed.nights.oracle import Demand, Supply
 from testbed.nights.rules import Failure, Rules
-from testbed.nights.script import Fault, Script, draw
-from testbed.systems.clients import CLASSES, RUDE, SITE_CLASSES, Ask, Class, Clients, Figures, settings
+from testbed.nights.script import Fault, Script, draw, each
+from testbed.systems.clients import CLASSES, RUDE, SITE_CLASSES, Ask, Class, Clients, Figures, neighbours, settings
 from testbed.systems.dns import HOWS, SERVICE, NameServer, Zone
 from testbed.systems.serving import Connection, Server
 from testbed.systems.standins import SPOIL_HOWS, SPOILS, SPOILT_BY, BoxSpec, CacheBox, OrderBook, Registry, Spoil, work_of
@@ -36,7 +36,8 @@
 FRONT_S = 0.8  # until the front knows that a node has died
 SAMPLE_US = 10_000  # between two looks at what boxes and order book can do, for the oracle
 DNS_S = 1.2  # until DNS has heard of either
-NODE_PORT, BOX_PORT = 8000, 8001
+NODE_PORT, BOX_PORT, PEER_PORT = 8000, 8001, 7946
+JUNK = (b"", b"\x00", b"\xc1" * 300, b"\x96\x01\x01\x01", bytes(range(256)))  # datagrams that are none
 ODD = "127.2.0.99"  # where no box is
 RESOLVERS = (("127.6.0.1", 53), ("127.6.0.2", 53))
 
@@ -58,6 +59,10 @@
     supply: Supply
     good: set[int]  # which demands were served in time
     lines: list[str] = field(default_factory=list)
+    leases: int = 0  # of bounds of the tier, that nodes took,
+    most_held: dict[int, int] = field(default_factory=dict)  # and the most parts of each that all held at once
+    members: dict[str, list[int]] = field(default_factory=dict)  # whom each node had in the tier at the end
+    keepers: list[str] = field(default_factory=list)
 
     @property
     def failed(self) -> bool:
@@ -153,6 +158,7 @@
         self.clients.got = self.good.add
         self.demands: list[Demand] = []
         self.supply = Supply()
+        self.tier_at_end: tuple[dict[str, list[int]], list[str]] = {}, []  # of each node whom it has in the tier, and who is keeper
         self._sample_us = 0
         self.zone = Zone()
         self.resolvers = [NameServer(address, self.zone) for address in RESOLVERS]
@@ -199,15 +205,15 @@
         self.processes.append(process)
         return process
 
-    def start_node(self, n: int, wall_offset_ms: float = 0.0, blank: bool = False) -> None:
-        """Start a node, or start it again with the list as it last was (blank: with none)."""
+    def start_node(self, n: int, wall_offset_ms: float = 0.0, blank: bool = False, others: int = 0) -> None:
+        """Start a node, or start it again with the list as it last was (blank: with none); others: so many more peers than there are."""
         w, name = self.script.world, f"n{n}"
         process = self._process(name, self._node_host(n))
         process.descriptors = w.descriptors
         process.wall_offset_ms = wall_offset_ms
         entries = [] if blank else list(self.entries.values())
         known = {"generation": 1, "reset": True, "instances": entries}
-        config = {
+        config: dict[str, Any] = {
             "name": name,
             "listen": f"{process.host}:{NODE_PORT}",
             "discovery": "127.4.0.1:8500",
@@ -216,6 +222,8 @@
             "known": known,
             "settings": settings(self.classes, w.ask_within_ms),
         }
+        if w.tier == "on":
+            config |= neighbours(config["settings"], n, [f"{self._node_host(m)}:{PEER_PORT}" for m in range(w.nodes + others)])
         process.files["config.json"] = json.dumps(config).encode()
         process.variables["PROXY_CONFIG"] = "config.json"
 
@@ -227,6 +235,8 @@
         async def program() -> None:
             service = Service(load(seam.environ()), sources)
             self.rules.services[process] = service
+            if service.tier is not None:
+                self.rules.joins(process, service.tier)
             await service.run()
 
         self.nodes[name] = process
@@ -278,7 +288,9 @@
 
     def _noticed_down(self, node: str) -> bool:
         process = self.nodes.get(node)
-        if process is None or process.alive:
+        if process is None:
+            return True  # it joins later
+        if process.alive:
             return False
         return self.loop.now_us - max(self._dead_us.get(node, 0), self._gone_us.get(node, 0)) > FRONT_S * 1e6
 
@@ -311,14 +323,22 @@
                 server.told = self._given
                 process = self._process(f"dns-{server.address[0]}", server.address[0])
                 process.start(server.run)
+        late = {n for fault in self.script.fault if fault.kind == "node_join" for n in fault.nodes or [fault.target]}
         for n in range(w.nodes):
-            self.start_node(n)
+            if n not in late:
+                self.start_node(n)
         await asyncio.sleep(0.05)
         for fault in self.script.fault:
-            self.loop.after_us(int(fault.at_ms * 1000), self._fault, fault)
+            for one in each(fault):
+                self.loop.after_us(int(one.at_ms * 1000), self._fault, one)
         self.front.start(self._ask)
         assert self.front.task is not None
         await self.front.task
+        for owner, service in self.rules.services.items():
+            if service.tier is not None and owner.running:
+                self.tier_at_end[0][owner.name] = service.tier.tier.members.there()
+                if service.tier.tier.keeps(owner.now_ms()):
+                    self.tier_at_end[1].append(owner.name)
         await asyncio.sleep(SOON_S)
         self._read_books(self.rules.timers_at_rest)
         await asyncio.sleep(QUIET_S)
@@ -505,16 +525,13 @@
             self._kill_box(n)
 
     def _do_node_kill(self, fault: Fault) -> None:
-        process = self.nodes[f"n{fault.target}"]
-        if process.alive:
-            process.kill()
-            self._dead_us[process.name] = self.loop.now_us
-            self.trace.note(f"{process.name} is killed")
+        if self.nodes[f"n{fault.target}"].alive:
+            self._kill_node(fault.target)
             self._later(fault, self._restart_node, fault.target)
 
-    def _restart_node(self, n: int, wall_offset_ms: float = 0.0, blank: bool = False) -> None:
+    def _restart_node(self, n: int, wall_offset_ms: float = 0.0, blank: bool = False, others: int = 0) -> None:
         if not self.nodes[f"n{n}"].alive:
-            self.start_node(n, wall_offset_ms, blank)
+            self.start_node(n, wall_offset_ms, blank, others)
 
     def _do_node_pause(self, fault: Fault) -> None:
         process = self.nodes[f"n{fault.target}"]
@@ -686,6 +703,66 @@
         self.book.down = True
         self._later(fault, setattr, self.book, "down", False)
 
+    def _do_node_join(self, fault: Fault) -> None:
+        """A node that was not there begins."""
+        if f"n{fault.target}" not in self.nodes:
+            self.start_node(fault.target)
+
+    def _do_node_other(self, fault: Fault) -> None:
+        """A node dies and comes back with a configuration that has other peers, until the fault is over."""
+        self._kill_node(fault.target)
+        self.loop.after_us(50_000, self._restart_node, fault.target, 0.0, False, 1)
+        self._later(fault, self._kill_node, fault.target)
+        if fault.for_ms:
+            self.loop.after_us(int(fault.for_ms * 1000) + 50_000, self._restart_node, fault.target)
+
+    def _kill_node(self, n: int) -> None:
+        process = self.nodes[f"n{n}"]
+        if process.alive:
+            process.kill()
+            self._dead_us[process.name] = self.loop.now_us
+            self.trace.note(f"{process.name} is killed")
+
+    def _peer_links(self, fault: Fault, both: bool = True) -> list[Link]:
+        """From the nodes of one side to all others, and back; without a side between all."""
+        hosts = {self._node_host(n) for n in range(self.script.world.nodes)}
+        side = {self._node_host(n) for n in fault.nodes}
+        pairs = [(a, b) for a in sorted(hosts) for b in sorted(hosts) if a != b and ((a in side) != (b in side) or not side)]
+        return [self.net.link(a, b) for a, b in pairs if both or a in side]
+
+    def _do_peer_cut(self, fault: Fault) -> None:
+        for link in self._peer_links(fault):
+            link.cut = True
+            self._later(fault, setattr, link, "cut", False)
+
+    def _do_peer_oneway(self, fault: Fault) -> None:
+        for link in self._peer_links(fault, both=False):
+            link.cut = True
+            self._later(fault, setattr, link, "cut", False)
+
+    def _do_peer_loss(self, fault: Fault) -> None:
+        for link in self._peer_links(fault):
+            link.loss = fault.value
+            self._later(fault, setattr, link, "loss", 0.0)
+
+    def _do_peer_late(self, fault: Fault) -> None:
+        """A third of the datagrams is late, by up to so many ms, and so comes in another order."""
+        for link in self._peer_links(fault):
+            link.late, link.late_us = 0.33, int(1000 * (fault.value or 500.0))
+            self._later(fault, setattr, link, "late", 0.0)
+
+    def _do_peer_double(self, fault: Fault) -> None:
+        for link in self._peer_links(fault):
+            link.double = fault.value
+            self._later(fault, setattr, link, "double", 0.0)
+
+    def _do_peer_junk(self, fault: Fault) -> None:
+        """A node gets datagrams that are none, from an address of a peer and from a stranger."""
+        to = self._node_host(fault.target), PEER_PORT
+        for data in JUNK:
+            for host in (self._node_host((fault.target + 1) % self.script.world.nodes), "127.9.9.9"):
+                self.net.throw((host, PEER_PORT), to, data)
+
     def _do_clock_jump(self, fault: Fault) -> None:
         """The wall clock of a node's machine is wrong from its next start on."""
         process = self.nodes[f"n{fault.target}"]
@@ -756,4 +833,7 @@
         world.supply,
         world.good,
         world.trace.lines,
+        world.rules.leases,
+        world.rules.most_held,
+        *world.tier_at_end,
     )
--- a/testbed/systems/clients.py
+++ b/testbed/systems/clients.py
@@ -49,7 +49,7 @@
 SITE_CLASSES = tuple(replace(kind, worth=SITE_WORTHS[kind.name]) for kind in CLASSES)  # with what the brief's table says they are worth
 
 
-def settings(classes: tuple[Class, ...] = CLASSES, ask_within_ms: float = 2_000.0) -> dict[str, object]:
+def settings(classes: tuple[Class, ...] = CLASSES, ask_within_ms: float = 2_000.0) -> dict[str, Any]:
     """The settings object that a node gets for these classes."""
     return {
         "services": [
@@ -80,6 +80,12 @@
     }
 
 
+def neighbours(settings: dict[str, Any], slot: int, peers: list[str], listen: str = "") -> dict[str, object]:
+    """What a configuration has where nodes may talk to one another; the settings are changed to say so. listen: if not as peers have it."""
+    settings |= {"slotNo": slot, "balancers": len(peers), "tier": 0, "allowed": {**settings["allowed"], "peers": True}}
+    return {"peer_listen": listen or peers[slot], "peers": peers}
+
+
 @dataclass(eq=False, slots=True)
 class Ask:
     """One request as a client sees it."""
--- /dev/null
+++ b/testbed/tier/virtual.py
@@ -0,0 +1,33 @@
+"""A tier's script on the virtual clock: the same as `processes`, where time and order are exact, with the whole nodes and all rules."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from forkweir.tier.lending import WHOLE
+from testbed.nights.script import Script
+from testbed.nights.simulation import run as play
+
+
+def run(script: Script, seed: int) -> dict[str, Any]:
+    """Play a script; a report of the same form as that of real processes, as far as it is known here."""
+    result = play(script=script, seed=seed)
+    figures = result.figures
+    return {
+        "seed": seed,
+        "seconds": script.world.seconds,
+        "real_s": round(result.real_s, 2),
+        "failures": [str(failure) for failure in result.failures],
+        "requests": {
+            "asked": figures.asked, "served": figures.served, "in_time": figures.in_time, "refused": figures.refused,
+            "failed": figures.failed, "unanswered": figures.unanswered,
+        },
+        "leases": result.leases,
+        "most_held": {str(bound): parts for bound, parts in sorted(result.most_held.items())},
+        "whole": WHOLE,
+        "trace": result.digest,
+        "cold": {},
+        "members": result.members,
+        "keepers": result.keepers,
+        "notes": [(round(fault.at_ms / 1000.0, 3), f"{fault.kind} {fault.nodes or fault.target}") for fault in script.fault],
+    }  # fmt: skip
