--- a/corkshift/cli/tier.py
+++ b/corkshift/cli/tier.py
@@ -82,6 +82,8 @@
     for lease in view["leases"]:
         share = 100.0 * lease["parts"] / view["whole"]
         print(f"  {_name(lease['bound'], view):<24} {share:5.1f}% of {lease['size']:.4g}, for {max(0.0, lease['ends_in_ms']):.0f} ms more")
+    line = view["line"]
+    print("  line: " + (f"common, {line['digest']}, {line['told']} heavy buckets" if line else "its own window"))
     counts = view["counts"]
     print("  datagrams: " + ", ".join(f"{name} {counts[name]}" for name in counts))
 
@@ -121,6 +123,7 @@
     print(", ".join(f"{name.replace('_', ' ')} {count}" for name, count in requests.items()))
     for at, what in report["notes"]:
         print(f"  {at:8.3f} s  {what}")
+    print(f"  reads at their key's usual box: {100.0 * report['usual']:.1f}%, fetches of the order book: {report['fetches']}")
     whole = report["whole"]
     for bound, parts in report["most_held"].items():
         print(f"  most parts of {bound or 'fetches'} held at once: {100.0 * parts / whole:.1f}%")
--- a/corkshift/tier/carrier.py
+++ b/corkshift/tier/carrier.py
@@ -10,6 +10,7 @@
 import logging
 from collections import deque
 from typing import Any, Optional
+from zlib import crc32
 
 import orjson
 
@@ -19,6 +20,7 @@
 from corkshift.seam import Address, now_ms
 from corkshift.tier.options import TierTable
 from forkweir.tier.lending import WHOLE, Lease
+from forkweir.tier.lines import BUCKETS, packed
 from forkweir.tier.members import Standing
 from forkweir.tier.options import TICKS
 from forkweir.tier.tier import Tier
@@ -150,6 +152,7 @@
             "floor": tier.options.floor,
             "sizes": {"work": tier.sizes[0], "fetches": tier.sizes[1]},
             "own": {"work": tier.claims.own_work, "fetches": tier.claims.own_fetches},
+            "line": _line(tier, now),
             "members": members,
             "leases": leases,
             "taken": [list(taken) for taken in self._taken],
@@ -159,5 +162,15 @@
         return orjson.dumps(view)
 
 
+def _line(tier: Tier, now: float) -> Optional[dict[str, Any]]:
+    """The common line as this node has it; none where there is none. digest: the same at nodes that have the same."""
+    table = tier.claims.lines.told(now) if tier.claims.lines is not None else None
+    if table is None:
+        return None
+    name, shares = table
+    heaviest = [[bucket / BUCKETS, share] for bucket, share in shares[:8]]
+    return {"table": list(name), "digest": f"{crc32(packed(shares)):08x}", "told": len(shares), "heavy": heaviest}
+
+
 def _since(at_ms: float, now: float) -> Optional[int]:
     return round(now - at_ms) if at_ms > 0.0 else None
--- a/corkshift/tier/options.py
+++ b/corkshift/tier/options.py
@@ -11,12 +11,18 @@
 
 
 class TierTable(Table, frozen=True, kw_only=True):
-    """`[tier]`: what a node shares with the others, where the settings let nodes talk to one another. The same at all nodes of a tier."""
+    """`[tier]`: what a node shares with the others, where the settings let nodes talk to one another.
+
+    floor and period_ms must be the same at all nodes of a tier.
+    """
 
     on: bool = True
     floor: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = FLOOR  # of its own part of each bound: what a node has that hears nobody
     period_ms: Annotated[float, msgspec.Meta(ge=50.0, le=10_000.0)] = PERIOD_MS  # between two questions, and two beats of a keeper
+    shares: bool = True  # whether this node has its part of common bounds,
+    line: bool = True  # cuts from the common line,
+    signals: bool = True  # and tells and heeds what is seen of boxes
 
     def options(self) -> Options:
         """In the terms of the tier."""
-        return Options(self.floor, self.period_ms)
+        return Options(self.floor, self.period_ms, self.shares, self.line, self.signals)
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -179,6 +179,10 @@
         self.errors.earn()
         if key is not None:
             self.line.arrive(position, key)
+            if self.parts is not None:
+                shared = self.parts.line(position, self.line.ranges, now)
+                if shared is not self.line.shared:
+                    self.line.merge(shared)
         if self.settings.aside and write:
             target: Optional[Member] = self.fleet.origin
         else:
@@ -288,7 +292,7 @@
         start = 0
         depth = request.position * 65536.0 % 1.0
         if request.key is not None:
-            copies = self.line.copies(request.key, min(len(near), fleet.live or 1))
+            copies = self.line.copies(request.key, min(len(near), fleet.live or 1), request.position)
             if copies > 1:
                 self.turn += 1
                 start = self.turn % copies
--- a/forkweir/known/doubt.py
+++ b/forkweir/known/doubt.py
@@ -45,21 +45,22 @@
 class Record:
     """What is held against one server."""
 
-    __slots__ = ("odds", "at", "row")
+    __slots__ = ("odds", "at", "row", "heard")
 
     def __init__(self) -> None:
         self.odds = PRIOR_ODDS  # logarithm of the odds that it is bad
         self.at = 0.0
         self.row = 0  # times it was found bad with no good answer between
+        self.heard = 0.0  # what other nodes add to the odds, where nodes talk to one another (`forkweir/tier/signals`)
 
     def clear(self) -> None:
         """Another process serves under this name: nothing is held against it."""
-        self.odds, self.row = PRIOR_ODDS, 0
+        self.odds, self.row, self.heard = PRIOR_ODDS, 0, 0.0
 
     @property
     def bad(self) -> bool:
         """Whether the server is more likely bad than good."""
-        return self.odds > 0.0
+        return self.odds + self.heard > 0.0
 
 
 class Doubts:
--- a/forkweir/known/health.py
+++ b/forkweir/known/health.py
@@ -37,6 +37,7 @@
 CALM = 0.15  # a server that turns away less than this lately has room
 SILENT_ROW = 4  # so many requests out for that long in a row, with no answer between, over a whole aim: the server is silent
 SILENT_MOST = 0.25  # of the servers that may be put out for silence at once
+MOST_HEARD = 0.34  # of the servers seem bad: no more are put out by what others say
 AWAY_MS = 2_000.0  # out for longer than this it may have started anew without word from the list
 
 State = Literal["in_service", "cold", "silent", "doubted", "due", "on_trial", "draining", "gone"]
@@ -189,3 +190,19 @@
         elif not wrong and not server.strikes:
             server.out_until = 0.0
         return bad
+
+    def heard(self, server: Health, odds: float, back: bool, servers: Sequence[Health], live: int, now: float) -> None:
+        """Other nodes say this of a server (`forkweir/tier/signals`). odds: to be added to those of our own test; back: it answers again.
+
+        One that is more likely bad than good by both is kept out and tried, as by an attempt of our own; not where so many seem bad that
+        it is no trouble of single servers. One that is out for doubt and answers others is tried at once. Whoever drains, is gone or is
+        silent stays so: no word of others moves that.
+        """
+        server.record.heard = odds
+        if not server.present or server.strikes:
+            return
+        if server.record.bad and odds and not server.record.row:
+            if sum(other.present and other.record.bad for other in servers) <= MOST_HEARD * max(1, live):
+                server.out_until = max(server.out_until, now + self.doubts.wait(server.record))
+        elif back and server.record.row and server.trial < 0:
+            server.out_until = min(server.out_until, now)
--- a/forkweir/limits/parts.py
+++ b/forkweir/limits/parts.py
@@ -1,12 +1,14 @@
-"""What the decision module asks where bounds are dealt over many nodes: its part of them. Pure; `forkweir/tier/claims` is one."""
+"""What the decision module asks where many nodes act as one: its part of bounds, and the line. Pure; `forkweir/tier/claims` is one."""
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Optional, Protocol
+
+from forkweir.line import Shared
 
 
 class Parts(Protocol):
-    """This node's part of the bounds of all nodes together. Times in ms."""
+    """This node's part of what all nodes have together. Times in ms."""
 
     def wants_work(self, server: str, work: float, now: float) -> None:
         """There is a request for a cold server: work in ms, over the part of its full capacity that the server has now."""
@@ -23,3 +25,10 @@
     def fetches(self, own: float, now: float) -> float:
         """Fetches that may be in flight from here. own: the limit that this node would keep to by itself."""
         ...
+
+    def line(self, position: float, ranges: int, now: float) -> Optional[Shared]:
+        """A request for a position on the line has come; the common line of all nodes in so many ranges, if there is one.
+
+        The same object until it changes.
+        """
+        ...
--- a/forkweir/line.py
+++ b/forkweir/line.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_left, bisect_right, insort
 from hashlib import blake2b
+from typing import Optional, Protocol
 
 WINDOW_PER_RANGE = 8  # WS = this x ranges: WS >> N, as the paper asks
 UPDATE_EVERY = 128  # UI, in arrivals
@@ -12,6 +13,14 @@
 HOT_MEMORY = 512  # recent arrivals in which hot keys are counted
 
 
+class Shared(Protocol):
+    """The line of many nodes together: cuts of their merged window, and what part of all requests goes to a position."""
+
+    @property
+    def cuts(self) -> list[float]: ...
+    def share(self, position: float) -> float: ...
+
+
 def digest(text: str) -> int:
     """64 bits of a text, the same at every node."""
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
@@ -39,7 +48,7 @@
 class Line:
     """Positions, the window of recent ones, and the cuts."""
 
-    __slots__ = ("ranges", "window", "prior", "real", "oldest", "cuts", "since", "counts", "recent", "at")
+    __slots__ = ("ranges", "window", "prior", "real", "oldest", "cuts", "since", "counts", "recent", "at", "shared")
 
     def __init__(self, ranges: int) -> None:
         size = ranges * WINDOW_PER_RANGE
@@ -55,6 +64,12 @@
         self.counts: dict[str, int] = {}
         self.recent: list[str] = []
         self.at = 0
+        self.shared: Optional[Shared] = None
+
+    def merge(self, shared: Optional[Shared]) -> None:
+        """The nodes' common line is this from now on; None: there is none, and this node's own window counts again."""
+        self.shared, self.since = shared, 0
+        self.update()
 
     def arrive(self, position: float, key: str) -> None:
         """Put one arrival into the window and re-cut every UI arrivals."""
@@ -88,22 +103,25 @@
             self.at = (self.at + 1) % HOT_MEMORY
         counts[key] = counts.get(key, 0) + 1
         self.since += 1
-        if self.since >= UPDATE_EVERY:
+        if self.since >= UPDATE_EVERY and self.shared is None:  # a common line moves with each word of it, alike at all nodes
             self.since = 0
             self.update()
 
     def update(self) -> None:
         """BOUNDARY = alpha x CUR_BOUND + (1 - alpha) x BOUNDARY (Algorithm 1)."""
         keep = 1.0 - ALPHA
-        fresh = equal_cuts(self.window, self.ranges)
+        fresh = equal_cuts(self.window, self.ranges) if self.shared is None else self.shared.cuts
         self.cuts = [ALPHA * new + keep * old for new, old in zip(fresh, self.cuts, strict=True)]
 
     def range_of(self, position: float) -> int:
         """The range that holds a position."""
         return bisect_right(self.cuts, position)
 
-    def copies(self, key: str, servers: int) -> int:
+    def copies(self, key: str, servers: int, position: float = -1.0) -> int:
         """How many servers a key's recent share fills (1 for an ordinary key)."""
+        if self.shared is not None and position >= 0.0:
+            share = self.shared.share(position)
+            return min(servers, max(1, round(share * servers))) if share * HOT_MEMORY >= HOT_MIN else 1
         seen = self.counts.get(key, 0)
         if seen < HOT_MIN:
             return 1
--- a/forkweir/tier/claims.py
+++ b/forkweir/tier/claims.py
@@ -17,9 +17,11 @@
 from __future__ import annotations
 
 from hashlib import blake2b
+from typing import Optional
 
 from forkweir.limits.work import Faded
 from forkweir.tier.lending import WHOLE, Holdings
+from forkweir.tier.lines import Lines, Table
 
 FETCHES = 0
 """The id of the bound on fetches; those of cold servers are 1 and more (`id_of`)."""
@@ -37,11 +39,13 @@
 class Claims:
     """One node's wants, and what it has of them."""
 
-    __slots__ = ("floor", "holdings", "own_work", "own_fetches", "_wanted", "_names", "_flight_ms")
+    __slots__ = ("floor", "holdings", "shares", "lines", "own_work", "own_fetches", "_wanted", "_names", "_flight_ms")
 
-    def __init__(self, floor: float, holdings: Holdings) -> None:
+    def __init__(self, floor: float, holdings: Holdings, shares: bool = True, line: bool = True) -> None:
         self.floor = floor
         self.holdings = holdings
+        self.shares = shares
+        self.lines = Lines() if line else None  # none: this node has its own line
         self.own_work = 0.0  # work a ms that a warm server of weight 1 gets from this node
         self.own_fetches = 0.0  # in flight, as it would bound them by itself; 0 while the order book does not press
         self._wanted: dict[int, Faded] = {}
@@ -52,6 +56,8 @@
 
     def wants_work(self, server: str, work: float, now: float) -> None:
         """The module asks for room at a cold server, for work (ms) that counts by what part of it the server can do now."""
+        if not self.shares:
+            return
         bound = id_of(server)
         name = self._names.get(bound)
         if name is None:
@@ -65,6 +71,8 @@
 
     def wants_fetches(self, fetches: float, flight_ms: float, now: float) -> None:
         """The module asks for room for so many expected fetches, each of which takes so long."""
+        if not self.shares:
+            return
         self._flight_ms = flight_ms
         self._wants(FETCHES, fetches, now)
 
@@ -78,16 +86,27 @@
         """The servers that bounds are about, by id."""
         return {str(bound): name for bound, name in self._names.items()}
 
+    def line(self, position: float, ranges: int, now: float) -> Optional[Table]:
+        """See `Parts`."""
+        if self.lines is None:
+            return None
+        self.lines.sketch.arrive(position, now)
+        return self.lines.table(ranges, now)
+
     # -- what the module gets ------------------------------------------------------------
 
     def work(self, server: str, own: float, now: float) -> float:
         """Work a ms for each unit of weight that a cold server may get from this node. own: by itself."""
+        if not self.shares:
+            return own
         self.own_work = own
         bound = id_of(server)
         return self._part(bound, own, now) if self._names.get(bound) == server else self.floor * own
 
     def fetches(self, own: float, now: float) -> float:
         """Fetches in flight that this node may have while the order book presses. own: by itself."""
+        if not self.shares:
+            return own
         self.own_fetches = own
         return self._part(FETCHES, own, now)
 
--- a/forkweir/tier/members.py
+++ b/forkweir/tier/members.py
@@ -113,8 +113,10 @@
 
     @property
     def joining(self) -> bool:
-        """Whether this node still gets to know the others."""
-        return self._periods <= JOIN_PERIODS
+        """Whether this node still gets to know the others: at its start, and as long as it knows nobody."""
+        return self._periods <= JOIN_PERIODS or not any(
+            entry.state in ("alive", "suspect") for slot, entry in enumerate(self.entries) if slot != self.slot
+        )
 
     def state(self, slot: int) -> Standing:
         """What a node is to this one."""
@@ -222,11 +224,12 @@
 
     def _next_of_round(self) -> int:
         """The next one to ask: each that takes part once a round, in a drawn order; while joining also those never heard of."""
+        joining = self.joining
         for _ in range(2):
             while self._round:
                 slot = self._round.pop()
                 state = self.entries[slot].state
-                if state in ("alive", "suspect") or (state == "unknown" and self.joining):
+                if state in ("alive", "suspect") or (joining and state == "unknown"):
                     return slot
             self._round = [slot for slot in range(self.count) if slot != self.slot]
             self._random.shuffle(self._round)
--- a/forkweir/tier/options.py
+++ b/forkweir/tier/options.py
@@ -12,10 +12,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """floor: 0 to 1; period_ms: 20 and more."""
+    """floor: 0 to 1; period_ms: 20 and more. shares, line, signals: whether this node has its part of common bounds, cuts from the common
+    line, and tells and heeds what is seen of boxes.
+
+    The first two must be the same at all nodes of a tier, the others need not be.
+    """
 
     floor: float = FLOOR
     period_ms: float = PERIOD_MS
+    shares: bool = True
+    line: bool = True
+    signals: bool = True
 
     def beat_ms(self, count: int) -> float:
         """Between two calls of the keeper of so many nodes."""
--- a/forkweir/tier/tier.py
+++ b/forkweir/tier/tier.py
@@ -6,8 +6,9 @@
 that calls; one that gets no majority in two spans of a vote rests for a drawn time.
 
 Whoever has another digest, or is not the one that `peers` has at its address, plays no part. While a datagram of another digest came from
-an address of `peers` within a span of a vote, this node neither stands nor promises its vote: two groups that count the tier otherwise
-could each have their majority. What they had been promised ends by itself, and all have their floors until the change is through.
+an address of `peers` within a span of a vote, this node neither stands nor promises its vote, and says so to whoever calls it, which then
+does the same: two groups that count the tier otherwise could each have their majority. What they had been promised ends by itself, and all
+have their floors until the change is through.
 
 Bounds: at most `CALLS` pages of ENTRIES grants to a node a beat; what a node said it wants is forgotten after TOLD beats; a node's own
 bound counts as at most LIAR times the median in the sum of the tier.
@@ -21,11 +22,13 @@
 from hashlib import blake2b
 from statistics import median
 
-from forkweir.tier import wire
+from forkweir.tier import signals, wire
 from forkweir.tier.claims import FETCHES, Claims
 from forkweir.tier.lending import MOST_BOUNDS, WHOLE, Dealer, Who
+from forkweir.tier.lines import ON_A_PAGE, merged, packed, unpacked
 from forkweir.tier.members import Members, Question
 from forkweir.tier.options import Options
+from forkweir.tier.signals import RECEIVERS, Signals
 from forkweir.tier.wire import ENTRIES, FORMAT, Message
 
 VOTE_BEATS = 8.0
@@ -35,6 +38,8 @@
 FIRST_BEATS = 1.5  # after the start, before anybody stands
 TOLD = 2.5  # beats
 LIAR = 4.0
+WORD_PERIODS = 0.75  # between two words on boxes, if there is anything to tell
+LINE_BEATS = 2  # between two words on the line
 CALLS = 13
 
 USUAL = Options()
@@ -52,6 +57,9 @@
     at_ms: float = 0.0
     own: tuple[float, float] = (0.0, 0.0)
     wants: dict[int, tuple[float, float]] = field(default_factory=dict)
+    weight: float = 0.0  # of what it is asked for,
+    heavy: dict[int, float] = field(default_factory=dict)  # and what is asked for often there: by bucket, its share
+    heavy_number: int = 0  # the call after which it said so
 
 
 class Tier:
@@ -73,7 +81,9 @@
         self.members = Members(slot, count, incarnation, seed, options.period_ms, now)
         self.vote_ms = VOTE_BEATS * self.beat_ms
         self.dealer = Dealer((slot, self.token), count, self.vote_ms, now)
-        self.claims = Claims(options.floor, self.dealer.holdings)
+        self.claims = Claims(options.floor, self.dealer.holdings, options.shares, options.line)
+        self.signals = Signals() if options.signals else None  # none: this node neither tells nor heeds what was seen of boxes
+        self.attend: Callable[[float], None] = lambda now: None  # brings `signals` and what follows from them up to date
         self.sizes = (0.0, 0.0)  # of the tier, as the keeper had them
         self.followed = -1  # whose calls this node answers with its vote
         self.prepare: Callable[[float], None] = lambda now: None  # brings `claims` up to date before it is read
@@ -86,7 +96,12 @@
         self._next_beat_ms = now + FIRST_BEATS * self.beat_ms * (1.0 + 0.2 * self._random.random())
         self._stood_ms = -1.0  # since when it stands without a majority
         self._rest_ms = 0.0
-        self._foreign_ms = -1e12
+        self._foreign_ms = -1e12  # when it last heard itself of another digest,
+        self._foreign_told_ms = -1e12  # and when another said that it had
+        self._beats = 0
+        self._next_word_ms = now
+        self._words = 0  # on boxes, that were told
+        self._silent = True  # nothing was told last
         self._void = 0  # of a candidacy that has ended, and of which the others are still to be told: its last call
 
     # -- what others ask -----------------------------------------------------------------
@@ -97,13 +112,17 @@
 
     def disagrees(self, now: float) -> bool:
         """Whether another count or other constants of the tier were heard of lately."""
-        return now - self._foreign_ms < self.vote_ms
+        return now - max(self._foreign_ms, self._foreign_told_ms) < self.vote_ms
 
     # -- time ----------------------------------------------------------------------------
 
     def tick(self, now: float) -> list[Send]:
         """Time has passed."""
         sends = [send for question in self.members.tick(now) for send in self._question(question)]
+        self.attend(now)
+        if self.signals is not None and now >= self._next_word_ms:
+            self._next_word_ms = now + WORD_PERIODS * self.options.period_ms
+            sends += self._tell_seen()
         if now >= self._next_beat_ms:
             self._next_beat_ms = max(self._next_beat_ms + self.beat_ms, now + 0.5 * self.beat_ms)
             if self._stands(now):
@@ -147,6 +166,8 @@
         """One beat: ask for votes, and tell each what it gets of what it said it wants."""
         dealer = self.dealer
         number = dealer.number
+        self._beats += 1
+        heavy = self._beats % LINE_BEATS == 0
         hold_ms = dealer.hold_ms(HOLD_BEATS * self.beat_ms, now)
         self._tell_own(now)
         dealt = self._deal(hold_ms, now) if hold_ms else {}
@@ -166,8 +187,39 @@
             for page in range(max(1, min(CALLS, -(-len(grants) // ENTRIES)))):
                 dealer.number += page > 0
                 some = tuple(grants[page * ENTRIES : (page + 1) * ENTRIES])
-                call = wire.Call(*self._head(), token, dealer.number if page else number, not page, echo, hold_ms, sizes, some)
+                call = wire.Call(*self._head(), token, dealer.number if page else number, not page, echo, hold_ms, sizes, heavy, some)
                 yield self._send(slot, call)
+        if hold_ms and heavy:
+            yield from self._tell_line(number, now)
+
+    def _tell_line(self, number: int, now: float) -> Iterator[Send]:
+        """Merge what all nodes are asked for often, and tell them."""
+        lines, oldest = self.claims.lines, now - 2.0 * LINE_BEATS * TOLD * self.beat_ms
+        if lines is None:
+            return
+        told = {slot: (t.weight, t.heavy) for slot, t in self._told.items() if t.at_ms >= oldest and slot != self.slot}
+        told[self.slot] = lines.sketch.weight, dict(unpacked(packed(lines.sketch.heavy())))
+        shares = merged(told)
+        if not shares:
+            return
+        data = packed(shares)
+        size = 3 * ON_A_PAGE
+        pages = [data[at : at + size] for at in range(0, len(data), size)]
+        for page, some in enumerate(pages):
+            lines.page(self.token, number, page, len(pages), some, now)
+            for slot in self.members.there():
+                if slot != self.slot:
+                    yield self._send(slot, wire.Line(*self._head(), number, page, len(pages), some))
+
+    def _tell_heavy(self, keeper: int, number: int) -> Iterator[Send]:
+        """Tell the keeper what is asked for often here."""
+        if self.claims.lines is None:
+            return
+        data = packed(self.claims.lines.sketch.heavy())
+        weight = wire.scaled(self.claims.lines.sketch.weight)
+        size = 3 * ON_A_PAGE
+        for page, at in enumerate(range(0, len(data), size)):
+            yield self._send(keeper, wire.Heavy(*self._head(), number, page, weight, data[at : at + size]))
 
     def _say_back(self) -> Iterator[Send]:
         """Tell all that this process stands no more, once, if it has stood back."""
@@ -260,6 +312,14 @@
             yield from self._called(sender, message, now)
         elif isinstance(message, wire.Reply):
             self._replied(sender, message, now)
+        elif isinstance(message, wire.Heavy):
+            self._heavy(sender, message, now)
+        elif isinstance(message, wire.Seen):
+            if self.signals is not None:
+                self.signals.heard(sender, message.token, message.number, signals.unpacked(message.data), now)
+        elif isinstance(message, wire.Line):
+            if self.claims.lines is not None and self.dealer.voter.promised == (sender, message.token):
+                self.claims.lines.page(message.token, message.number, message.page, message.pages, message.data, now)
         elif isinstance(message, wire.Back):
             self.dealer.voter.release((sender, message.token), message.number, now)
         else:
@@ -279,18 +339,23 @@
         if vote:
             self._called_ms, self.followed = now, sender
             self.sizes = wire.unscaled(call.sizes[0]), wire.unscaled(call.sizes[1])
+        if vote and call.heavy:
+            yield from self._tell_heavy(sender, call.number)
         self.prepare(now)
         wants = [(bound, wire.scaled(amount)) for bound, amount in self.claims.wanted(now)][: CALLS * ENTRIES]
         own = wire.scaled(self.claims.own_work), wire.scaled(self.claims.own_fetches)
+        other = now - self._foreign_ms < self.vote_ms
         for page in range(max(1, -(-len(wants) // ENTRIES))):
             number = self.dealer.holdings.replies(now) if not page else 0
             some = tuple(wants[page * ENTRIES : (page + 1) * ENTRIES])
-            yield self._send(sender, wire.Reply(*self._head(), call.token, number, call.number, vote and not page, own, some))
+            yield self._send(sender, wire.Reply(*self._head(), call.token, number, call.number, vote and not page, other, own, some))
 
     def _replied(self, sender: int, reply: wire.Reply, now: float) -> None:
         if reply.to != self.token:
             self.counts["old"] += 1
             return
+        if reply.other:
+            self._foreign_told_ms = now
         if reply.vote:
             self.dealer.voted(sender, reply.to, reply.echo)
         told = self._told.get(sender)
@@ -307,6 +372,29 @@
             if bound in told.wants or len(told.wants) < MOST_BOUNDS:
                 told.wants[bound] = wire.unscaled(step), now
 
+    def _tell_seen(self) -> Iterator[Send]:
+        """Tell some members which boxes this node holds to be bad; once more, with nothing in it, when there are none any more."""
+        assert self.signals is not None
+        told = self.signals.told()
+        if not told and self._silent:
+            return
+        self._silent = not told
+        self._words += 1
+        others = [slot for slot in self.members.there() if slot != self.slot]
+        data = signals.packed(told)
+        for slot in self._random.sample(others, min(RECEIVERS, len(others))):
+            yield self._send(slot, wire.Seen(*self._head(), self._words, data))
+
+    def _heavy(self, sender: int, message: wire.Heavy, now: float) -> None:
+        told = self._told.get(sender)
+        if told is None or told.token != message.token or message.number < told.heavy_number:
+            self.counts["old"] += 1
+            return
+        if message.number > told.heavy_number:
+            told.heavy, told.heavy_number = {}, message.number
+        told.weight = wire.unscaled(message.weight)
+        told.heavy.update(unpacked(message.data))
+
     def _question(self, question: Question) -> Iterator[Send]:
         if question.relay >= 0:
             relay = wire.Relay(*self._head(), question.number, question.to, self.members.news(question.relay))
--- a/forkweir/tier/wire.py
+++ b/forkweir/tier/wire.py
@@ -6,6 +6,9 @@
 | relay | any, any | ask that one for me, I had no answer of it (the same, section 3.1) |
 | call | who stands for keeper, or is it, to all | vote for me; your parts of the bounds until so long after what you last said |
 | reply | any, who called | my vote, or not; what I want of which bound |
+| heavy | any, the keeper | what is asked for often here |
+| line | the keeper, to all | what is asked for often everywhere |
+| seen | any, some | boxes that I hold to be bad, and those that I no longer do |
 | back | who stood for keeper, to all | I stand no more: no vote counts for my calls up to this one |
 | leave | who drains, to some | I end in order |
 
@@ -37,6 +40,8 @@
 State = Annotated[int, msgspec.Meta(ge=0, le=3)]
 Scaled = Annotated[int, msgspec.Meta(ge=0, le=LARGEST)]
 Parts = Annotated[int, msgspec.Meta(ge=0, le=0xFFFF)]
+Page = Annotated[int, msgspec.Meta(ge=0, le=15)]
+Shares = Annotated[bytes, msgspec.Meta(max_length=198)]  # three bytes each
 Millis = Annotated[int, msgspec.Meta(ge=0, le=0xFFFF)]
 
 News = tuple[Slot, Number, State]
@@ -87,7 +92,7 @@
 
     to: its token, 0 where that is not known (and nothing is granted). number: rises with each call of a caller. answer: whether a reply
     is wanted (further pages of one word want none). echo: the number of the reply from whose sending on `hold_ms` count, 0 where there was
-    none. sizes: of the whole tier (`scaled`), of work and of fetches.
+    none. sizes: of the whole tier (`scaled`), of work and of fetches. heavy: whether `Heavy` is wanted too.
     """
 
     to: Number
@@ -96,17 +101,19 @@
     echo: Number
     hold_ms: Millis
     sizes: tuple[Scaled, Scaled]
+    heavy: bool
     grants: Annotated[tuple[Grant, ...], msgspec.Meta(max_length=ENTRIES)]
 
 
 class Reply(_Head, frozen=True, tag=5):
     """To a call. to: the caller's token; number: of this reply, 0 of a further page; echo: of the call. own: of work and of fetches, what
-    the node would take by itself (`scaled`)."""
+    the node would take by itself (`scaled`). other: whether it heard itself, lately, of another count or other constants of the tier."""
 
     to: Number
     number: Number
     echo: Number
     vote: bool
+    other: bool
     own: tuple[Scaled, Scaled]
     wants: Annotated[tuple[Want, ...], msgspec.Meta(max_length=ENTRIES)]
 
@@ -121,7 +128,32 @@
     number: Number
 
 
-Message = Ping | Ack | Relay | Call | Reply | Leave | Back
+class Heavy(_Head, frozen=True, tag=8):
+    """What is asked for often here. number: of the call that it follows; weight: of all requests (`scaled`); data: `lines.packed`."""
+
+    number: Number
+    page: Page
+    weight: Scaled
+    data: Shares
+
+
+class Line(_Head, frozen=True, tag=9):
+    """What is asked for often at all nodes together. number: of the table, rising."""
+
+    number: Number
+    page: Page
+    pages: Page
+    data: Shares
+
+
+class Seen(_Head, frozen=True, tag=10):
+    """Boxes that I hold to be bad, or did until lately. number: of this word, rising; data: `signals.packed`."""
+
+    number: Number
+    data: Shares
+
+
+Message = Ping | Ack | Relay | Call | Reply | Leave | Back | Heavy | Line | Seen
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/testbed/nights/rules.py
+++ b/testbed/nights/rules.py
@@ -22,7 +22,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Optional
@@ -36,7 +36,7 @@
 from testbed.machine.parts import Owner
 from testbed.systems.clients import Ask, Observer
 from testbed.systems.serving import Message
-from testbed.systems.standins import CacheBox, Witness
+from testbed.systems.standins import CacheBox, Witness, usual_part
 
 GRACE_US = 250_000
 HEARD_US = 1_500_000  # by then an answer of DNS was lost and asked for again
@@ -113,6 +113,7 @@
         self._dialed: dict[Owner, int] = {}
         self._accepted: dict[Owner, int] = {}
         self._seen: set[tuple[str, str]] = set()
+        self.reads: dict[str, Counter[str]] = defaultdict(Counter)  # by key and box
         self.leases = 0  # that were taken,
         self.most_held: dict[int, int] = {}  # and the most parts of each bound that were held at once
 
@@ -208,8 +209,14 @@
                 self.broken("no effect twice", f"{txn} is sent to {box.name} after the window")
         if method == "PUT" and life.ask is None and txn == "hidden":
             self.broken("no effect twice", "a hidden request was passed on")
+        if method == "GET" and life.ask is not None:
+            self.reads[life.ask.key][box.name] += 1
         self._cold(box, work_ms, now, life.sender)
 
+    def usual(self) -> float:
+        """The part of the reads that went to the box to which most of their key's went."""
+        return usual_part(self.reads)
+
     def turned_away(self, box: CacheBox, txn: str) -> None:
         self.life(txn).begun[-1].turned_away = True
         self._note(f"{box.name} turns away {txn}")
--- a/testbed/nights/script.py
+++ b/testbed/nights/script.py
@@ -33,10 +33,11 @@
 HARD_FROM = 20_001  # nights drawn from this seed on are hard ones,
 TOLD_FROM = 10_000_001  # and from this one on nights on which discovery spoils what it tells,
 PAIRED_FROM = 10_100_001  # of which these lose a line while the watch has already lost something, or stands in the middle of a line
-SOURCED_FROM = 20_000_001  # and from this one on nights on which nodes ask DNS too, and sources fail and disagree
+SOURCED_FROM = 20_000_001  # and from this one on nights on which nodes ask DNS too, and sources fail and disagree,
+TIERED_FROM = 30_000_001  # and from this one on nights of many nodes that talk to one another, over links that fail
 HALF_A_LINE, NO_LIST = 7.0, 0.0  # values of discovery_wrong
 FRAMING = 5  # of the ways to spoil a line (`standins.SPOIL_HOWS`)
-BETWEEN = ("peer_cut", "peer_oneway", "peer_loss", "peer_late", "peer_double")  # faults of what goes from node to node
+BETWEEN: tuple[Kind, ...] = ("peer_cut", "peer_oneway", "peer_loss", "peer_late", "peer_double")  # faults of what goes from node to node
 TARGETS: dict[str, str] = {
     kind: "node"
     if kind.startswith(("node", "clock", "rude", "trip_client", "peer_junk"))
@@ -69,7 +70,8 @@
     worths: Literal["equal", "site"] = "equal"  # of the classes: all the same, or as the brief has them
     ask_within_ms: Annotated[float, msgspec.Meta(gt=0.0, le=60_000.0)] = 2_000.0  # how long a node may go without discovery
     sources: Literal["list", "dns"] = "list"  # what nodes learn of boxes from: the box list alone, or DNS SRV beside it
-    tier: Literal["off", "on"] = "off"  # whether nodes may send one another datagrams
+    tier: Literal["off", "on", "shares", "line", "signals"] = "off"  # whether nodes may send one another datagrams, and for one part alone
+    tier_period_ms: Annotated[float, msgspec.Meta(ge=50.0, le=10_000.0)] = 500.0  # `period_ms` of their operator's file
 
 
 class Fault(Table, frozen=True, kw_only=True):
@@ -147,10 +149,57 @@
 
 def draw(seed: int) -> Script:
     """The script of a seed: a small world with up to seven faults that overlap; others from HARD_FROM and TOLD_FROM on."""
-    kinds = ((SOURCED_FROM, _draw_sourced), (TOLD_FROM, _draw_told), (HARD_FROM, _draw_hard))
+    kinds = ((TIERED_FROM, _draw_tiered), (SOURCED_FROM, _draw_sourced), (TOLD_FROM, _draw_told), (HARD_FROM, _draw_hard))
     return next((kind for first, kind in kinds if seed >= first), _draw_night)(seed)
 
 
+def _draw_tiered(seed: int) -> Script:
+    """Six to twelve nodes that share bounds, many boxes cold, and faults of nodes and of what goes between them.
+
+    All of them can be carried out on real processes too. The tier's period is a fifth of the usual, so that a night sees many leases.
+    """
+    rng = random.Random(f"tiered/{seed}")
+    world = World(
+        seconds=rng.choice((5.0, 7.0)),
+        nodes=rng.choice((6, 6, 7, 8, 10, 12)),
+        boxes=rng.randint(4, 9),
+        cores=rng.choice((1, 2)),
+        requests_per_s=float(rng.choice((60, 120, 180))),
+        keys=rng.choice((20, 120, 400)),
+        latency_us=rng.choice((50, 250, 700)),
+        jitter_us=rng.choice((0, 100, 300)),
+        tier="on",
+        tier_period_ms=100.0,
+    )
+    last = world.seconds * 800.0
+    faults = []
+    for box in rng.sample(range(world.boxes), rng.randint(1, world.boxes - 1)):  # cold while leases are dealt
+        at = rng.choice((50.0, 1_500.0, rng.uniform(50.0, last)))
+        faults.append(Fault(at_ms=round(at + rng.uniform(0.0, 400.0), 3), kind="box_quick_restart", target=box))
+    for _ in range(rng.choice((1, 2, 3, 4, 5))):
+        at, for_ms = rng.uniform(200.0, last), float(rng.choice((100, 400, 900, 2_000)))
+        some = sorted(rng.sample(range(world.nodes), rng.randint(1, world.nodes // 2)))
+        kind: Kind = rng.choice(
+            (*BETWEEN, "peer_junk", "node_kill", "node_pause", "node_term", "node_other")
+        )
+        value = 0.0
+        if kind in ("peer_loss", "peer_double"):
+            value = rng.choice((0.05, 0.3, 0.6))
+        elif kind == "peer_late":
+            value = float(rng.choice((50, 500, 3_000)))
+        nodes = [] if kind in ("peer_loss", "peer_late", "peer_double") and rng.random() < 0.5 else some
+        faults.append(Fault(at_ms=round(at, 3), kind=kind, nodes=nodes, for_ms=for_ms, value=value))
+    if rng.random() < 0.4:
+        kind = rng.choice(("book_slow", "book_slow", "load_step", "flush", "box_slow"))
+        value = {"book_slow": 10.0, "load_step": 3.0, "flush": 0.9, "box_slow": 5.0}[kind]
+        target = rng.randrange(world.boxes) if kind == "box_slow" else 0
+        faults.append(Fault(at_ms=round(rng.uniform(200.0, last), 3), kind=kind, target=target, for_ms=1_500.0, value=value))
+    if rng.random() < 0.3:
+        late = sorted(rng.sample(range(world.nodes), rng.randint(1, 3)))
+        faults.append(Fault(at_ms=round(rng.uniform(500.0, last), 3), kind="node_join", nodes=late))
+    return Script(world=world, fault=sorted(faults, key=lambda fault: fault.at_ms))
+
+
 def _draw_sourced(seed: int) -> Script:
     """A night of any other kind on which nodes ask DNS too: its servers fail, it names what is gone, and not what is there."""
     rng = random.Random(f"sourced/{seed}")
--- a/testbed/nights/simulation.py
+++ b/testbed/nights/simulation.py
@@ -17,6 +17,7 @@
 from corkshift.config import load
 from corkshift.service import Service
 from corkshift.sources.options import DnsTable, SourcesTable
+from corkshift.tier.options import TierTable
 from testbed.machine.loop import Deadlock, Livelock, VirtualLoop, owner_of
 from testbed.machine.net import Link, Network, Trip, VirtualSocket
 from testbed.machine.parts import Owner
@@ -24,6 +25,7 @@
 from testbed.nights.oracle import Demand, Supply
 from testbed.nights.rules import Failure, Rules
 from testbed.nights.script import Fault, Script, draw, each
+from testbed.nights.script import World as WorldTable
 from testbed.systems.clients import CLASSES, RUDE, SITE_CLASSES, Ask, Class, Clients, Figures, neighbours, settings
 from testbed.systems.dns import HOWS, SERVICE, NameServer, Zone
 from testbed.systems.serving import Connection, Server
@@ -63,6 +65,8 @@
     most_held: dict[int, int] = field(default_factory=dict)  # and the most parts of each that all held at once
     members: dict[str, list[int]] = field(default_factory=dict)  # whom each node had in the tier at the end
     keepers: list[str] = field(default_factory=list)
+    usual: float = 0.0  # of the reads, that went to the box to which most of their key's went
+    fetches: int = 0  # that the order book was asked for
 
     @property
     def failed(self) -> bool:
@@ -74,6 +78,12 @@
         return sum(self.demands[n].value for n in self.good)
 
 
+def tier_table(world: WorldTable) -> TierTable:
+    """`[tier]` of the operator's file of a world's nodes."""
+    on = {name: world.tier in ("on", name) for name in ("shares", "line", "signals")}
+    return TierTable(period_ms=world.tier_period_ms, **on)
+
+
 class Trace:
     """One line an event, canonical: time in us, who, what. The digest covers every line, also those that are not kept."""
 
@@ -222,7 +232,7 @@
             "known": known,
             "settings": settings(self.classes, w.ask_within_ms),
         }
-        if w.tier == "on":
+        if w.tier != "off":
             config |= neighbours(config["settings"], n, [f"{self._node_host(m)}:{PEER_PORT}" for m in range(w.nodes + others)])
         process.files["config.json"] = json.dumps(config).encode()
         process.variables["PROXY_CONFIG"] = "config.json"
@@ -233,7 +243,7 @@
             sources = SourcesTable(dns=DnsTable(service=SERVICE, resolvers=names, floor_s=0.3, ceiling_s=2.0))
 
         async def program() -> None:
-            service = Service(load(seam.environ()), sources)
+            service = Service(load(seam.environ()), sources, tier=tier_table(w))
             self.rules.services[process] = service
             if service.tier is not None:
                 self.rules.joins(process, service.tier)
@@ -525,7 +535,8 @@
             self._kill_box(n)
 
     def _do_node_kill(self, fault: Fault) -> None:
-        if self.nodes[f"n{fault.target}"].alive:
+        process = self.nodes.get(f"n{fault.target}")
+        if process is not None and process.alive:
             self._kill_node(fault.target)
             self._later(fault, self._restart_node, fault.target)
 
@@ -534,12 +545,16 @@
             self.start_node(n, wall_offset_ms, blank, others)
 
     def _do_node_pause(self, fault: Fault) -> None:
-        process = self.nodes[f"n{fault.target}"]
+        process = self.nodes.get(f"n{fault.target}")
+        if process is None:
+            return
         process.pause()
         self.loop.after_us(int((fault.for_ms or 200.0) * 1000), process.resume)
 
     def _do_node_term(self, fault: Fault) -> None:
-        process = self.nodes[f"n{fault.target}"]
+        process = self.nodes.get(f"n{fault.target}")
+        if process is None:
+            return
         process.signal(signal.SIGTERM)
         self.loop.after_us(3_700_000, self._end_node, process, fault.target)
 
@@ -710,6 +725,8 @@
 
     def _do_node_other(self, fault: Fault) -> None:
         """A node dies and comes back with a configuration that has other peers, until the fault is over."""
+        if f"n{fault.target}" not in self.nodes:
+            return
         self._kill_node(fault.target)
         self.loop.after_us(50_000, self._restart_node, fault.target, 0.0, False, 1)
         self._later(fault, self._kill_node, fault.target)
@@ -836,4 +853,6 @@
         world.rules.leases,
         world.rules.most_held,
         *world.tier_at_end,
+        world.rules.usual(),
+        world.book.fetches,
     )
--- a/testbed/systems/standins.py
+++ b/testbed/systems/standins.py
@@ -9,7 +9,7 @@
 import json
 import random
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Optional
 
@@ -41,6 +41,12 @@
         """Discovery has written entries to a node; sound: in a line that can be read, on a watch of which all could be."""
 
 
+def usual_part(reads: Mapping[str, Mapping[str, int]]) -> float:
+    """The part of the reads (by key and box) that went to the box to which most of their key's went; keys read once are left out."""
+    counts = [boxes.values() for boxes in reads.values() if sum(boxes.values()) > 1]
+    return sum(map(max, counts)) / max(1, sum(map(sum, counts)))
+
+
 @dataclass(slots=True)
 class BoxSpec:
     """A cache box's size. Work is in ms of one core of the yardstick."""
--- a/testbed/tier/processes.py
+++ b/testbed/tier/processes.py
@@ -27,13 +27,15 @@
 from typing import Any, Optional
 
 import h11
+import msgspec
 
 from corkshift.seam import Address, now_ms
 from forkweir.tier.lending import WHOLE
 from testbed.nights.script import BETWEEN, Fault, Script, each
+from testbed.nights.simulation import tier_table
 from testbed.systems.clients import CLASSES, SITE_CLASSES, Ask, Clients, Observer, neighbours, settings
 from testbed.systems.serving import Ended, Message, dial
-from testbed.systems.standins import BoxSpec, CacheBox, OrderBook, Registry, Witness
+from testbed.systems.standins import BoxSpec, CacheBox, OrderBook, Registry, Witness, usual_part
 from testbed.tier.books import ColdBox, Span, most_held, spans_of
 from testbed.tier.relay import Link, Relay
 
@@ -47,6 +49,7 @@
 FRONT_MS = 800.0  # until clients know that a node has died
 JUNK = (b"", b"\x00", b"\xc1" * 300, b"\x96\x01\x01\x01", bytes(range(256)), b"\xff" * 65_507)
 PR_SET_PDEATHSIG = 1
+MOST_TOLD = 20_000  # leases that the report lists: from when, until when (s), who, bound, parts
 PLAYED = {
     *BETWEEN, "peer_junk", "node_kill", "node_pause", "node_term", "node_hup", "node_join", "node_other", "box_quick_restart", "box_kill",
     "box_slow", "box_errors", "box_turn_away", "book_slow", "book_down", "load_step", "flush", "discovery_silent", "discovery_down",
@@ -75,7 +78,7 @@
         self.cold: dict[str, ColdBox] = {}
         self.excused: Callable[[Ask], bool] = lambda ask: False
         self.work: dict[str, Counter[str]] = defaultdict(Counter)  # by box and node, in ms
-        self.requests: dict[str, Counter[str]] = defaultdict(Counter)
+        self.reads: dict[str, Counter[str]] = defaultdict(Counter)  # by key and box
         self._asks: dict[str, Ask] = {}
         self._begun: dict[str, list[str]] = defaultdict(list)  # by id: boxes where it may have run
         self._bodies: dict[str, set[bytes]] = defaultdict(set)
@@ -109,7 +112,8 @@
         ask = self._asks.get(txn)
         node = ask.node if ask is not None else "?"
         self.work[box.name][node] += work_ms  # type: ignore[assignment]
-        self.requests[box.name][node] += 1
+        if ask is not None and method == "GET":
+            self.reads[ask.key][box.name] += 1
         if ask is not None and ask.kind.repeat == "unsafe" and self._begun[txn]:
             self.broken(f"no effect twice: {txn} may have run at {self._begun[txn][0]} and is sent to {box.name}")
         self._begun[txn].append(box.name)
@@ -185,6 +189,9 @@
             raise Unplayable(f"not on real processes: {', '.join(kinds)}; there are {', '.join(sorted(PLAYED))}")
         self.script = script
         self.folder = folder
+        self.operator = folder / "operator.toml"
+        table = msgspec.structs.asdict(tier_table(script.world))
+        self.operator.write_text("format = 1\n[tier]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in table.items()))
         self.watch = Watch()
         self.rng = random.Random(f"rig/{seed}")
         self.seed = seed
@@ -248,7 +255,7 @@
             "known": {"generation": 1, "reset": True, "instances": list(self.registry.entries.values())},
             "settings": settings(self.classes, w.ask_within_ms),
         }
-        if w.tier == "on":
+        if w.tier != "off":
             peers = self.relay.peers(node.slot) + [f"127.99.0.{n + 1}:{PEER_PORT}" for n in range(others)]
             host, port = self.relay.places[node.slot]
             config |= neighbours(config["settings"], node.slot, peers, f"{host}:{port}")
@@ -260,6 +267,7 @@
         if node.life is not None:
             return
         environ = {**os.environ, "PROXY_CONFIG": str(node.path), "PYTHONPATH": str(ROOT), "TMPDIR": str(self.folder)}
+        environ["GRADESHIFT_OPERATOR"] = str(self.operator)
         with open(self.folder / f"{node.name}.log", "ab") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "corkshift", cwd=ROOT, env=environ, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
@@ -359,7 +367,7 @@
             await asyncio.gather(*map(self.start_node, first))
             await asyncio.gather(*map(self._ready, first))
             self._began = now_ms()
-            if w.tier == "on":
+            if w.tier != "off":
                 self._spawn(self._look())
             for fault in self.script.fault:
                 for one in each(fault):
@@ -428,6 +436,8 @@
     async def _do_node_other(self, fault: Fault) -> None:
         """A node comes back with one peer more in its configuration, until the fault is over."""
         node = self.nodes[fault.target]
+        if not node.lives:
+            return
         await self._kill(node)
         self._configure(node, 1)
         await self.start_node(node)
@@ -618,9 +628,16 @@
             },
             "work_ms": {box: {node: round(work) for node, work in sorted(by.items())} for box, by in sorted(self.watch.work.items())},
             "cold": {name: {"worst": round(cold.worst(), 3), "work_ms": cold.by_node()} for name, cold in sorted(self.watch.cold.items())},
+            "usual": round(usual_part(self.watch.reads), 4),
+            "fetches": self.book.fetches,
+            "lines": {name: view["line"] and view["line"]["digest"] for name, view in views.items()},
             "leases": len(spans),
             "most_held": {names.get(str(bound), str(bound)) or "fetches": parts for bound, (parts, _) in sorted(held.items())},
             "whole": WHOLE,
+            "held": [
+                [round((s.since - self._began) / 1000.0, 3), round((s.until - self._began) / 1000.0, 3), f"n{s.node}", s.bound, s.parts]
+                for s in sorted(spans, key=lambda span: span.since)[:MOST_TOLD]
+            ],
             "keepers": sorted(name for name, view in views.items() if view["keeps"]),
             "members": {name: [m["slot"] for m in view["members"] if m["state"] in ("alive", "suspect")] for name, view in views.items()},
             "datagrams": {
--- /dev/null
+++ b/tests/tier/test_lines.py
@@ -0,0 +1,137 @@
+"""One line for all nodes: what is asked for often is found, merged and told, and from equal tables come equal cuts."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_right
+
+import pytest
+
+from forkweir.choice import Balancer
+from forkweir.line import Line, equal_cuts, position_of
+from forkweir.settings import ClassSpec, Server, Settings
+from forkweir.tier.lines import BUCKETS, PAGES, STALE_MS, Lines, Sketch, cuts_of, merged, packed, unpacked
+from forkweir.tier.seat import Seat
+from forkweir.tier.tier import Tier
+
+RANGES = 2_048
+KEYS = [f"k{n}" for n in range(2_000)]
+WEIGHTS = [1.0 / (n + 3) ** 0.9 for n in range(2_000)]
+
+
+def arrivals(seed: int, count: int) -> list[str]:
+    return random.Random(seed).choices(KEYS, WEIGHTS, k=count)
+
+
+def test_what_is_asked_for_often_is_found_with_its_share_and_forgotten() -> None:
+    sketch = Sketch()
+    for n, key in enumerate(arrivals(1, 8_000)):
+        sketch.arrive(position_of(key), float(n))
+    heavy = dict(sketch.heavy())
+    total = sum(WEIGHTS)
+    for n in range(20):
+        assert heavy[int(position_of(KEYS[n]) * BUCKETS)] == pytest.approx(WEIGHTS[n] / total, rel=0.35)
+    sketch.arrive(0.5, 500_000.0)
+    assert sketch.weight < 2.0 and sketch.heavy() == []
+    assert Sketch().heavy() == []
+
+
+def test_shares_travel_within_a_few_in_a_hundred_and_spoilt_ones_do_no_harm() -> None:
+    shares = [(0, 1.0), (65_535, 0.031), (7, 2.0**-15)]
+    back = unpacked(packed(shares))
+    assert [bucket for bucket, _ in back] == [0, 65_535, 7]
+    assert [share for _, share in back] == pytest.approx([share for _, share in shares], rel=0.023)
+    assert unpacked(b"\x01\x02") == [] and len(unpacked(bytes(10))) == 3
+
+
+def test_a_merge_weighs_by_traffic_and_bounds_one_that_tells_too_much() -> None:
+    told = {0: (300.0, {5: 0.2}), 1: (100.0, {5: 0.1, 9: 0.4}), 2: (100.0, {}), 3: (1e9, {77: 1.0})}
+    shares = dict(merged(told))
+    most = 4.0 * 200.0  # four times the median
+    total = 300.0 + 100.0 + 100.0 + most
+    assert shares[5] == pytest.approx((0.2 * 300 + 0.1 * 100) / total) and shares[77] == pytest.approx(most / total)
+    assert merged({0: (10.0, {5: 0.5})}) == []  # too little to tell anything
+
+
+def test_cuts_of_a_table_are_those_of_an_even_window_but_where_something_is_heavy() -> None:
+    even = Line(RANGES).cuts
+    assert cuts_of([], RANGES) == even
+    shares = [(20_000, 0.05), (20_001, 0.01), (65_535, 0.02), (0, 0.02)]
+    cuts = cuts_of(shares, RANGES)
+    assert len(cuts) == RANGES - 1 and cuts == sorted(cuts)
+    position = 20_000.5 / BUCKETS
+    assert sum(abs(cut - position) < 1e-9 for cut in cuts) == pytest.approx(0.05 * RANGES, abs=2)  # it fills so many ranges
+    far = [n for n, cut in enumerate(even) if 0.4 < cut < 0.9]
+    assert [cuts[n] for n in far] == [even[n] for n in far]  # and moves none that are far away
+    assert cuts == equal_cuts(sorted([*cuts_points(shares)]), RANGES)
+
+
+def cuts_points(shares: list[tuple[int, float]]) -> list[float]:
+    """The same window by the slow way: each point of a share takes the nearest even one's place, as `Line.arrive` does it."""
+    size = RANGES * 8
+    free, points = [(n + 0.5) / size for n in range(size)], []
+    for bucket, share in shares:
+        position = (bucket + 0.5) / BUCKETS
+        wanted = round(share * size)
+        near = sorted(range(len(free)), key=lambda n: (abs(free[n] - position), n))[:wanted]
+        low = min(max(0, bisect_right(free, position) - wanted // 2), len(free) - wanted)
+        assert abs(min(near) - low) <= 2
+        del free[min(near) : min(near) + wanted]
+        points += [position] * wanted
+    return points + free
+
+
+def nodes(count: int) -> tuple[list[Balancer], list[Tier]]:
+    settings = Settings(classes=(ClassSpec("read", aim_ms=750, deadline_ms=2_500),), max_attempts=3)
+    balancers = [Balancer(settings, n) for n in range(count)]
+    tiers = [Tier(n, count, 100 + n, 1, 0.0) for n in range(count)]
+    for balancer, tier in zip(balancers, tiers, strict=True):
+        balancer.on_list(0.0, "full", [Server(f"s{n}") for n in range(20)])
+        Seat(balancer, tier)
+    return balancers, tiers
+
+
+def played(balancers: list[Balancer], tiers: list[Tier], until_ms: float, deaf: int = -1) -> None:
+    """Each node gets 40 requests a second of its own draw; datagrams come at once, but to a deaf one."""
+    draws = [iter(arrivals(7 + n, 100_000)) for n in range(len(balancers))]
+    now, number = 0.0, 0
+    while now < until_ms:
+        now += 25.0
+        for n, balancer in enumerate(balancers):
+            number += 1
+            for action in balancer.on_request(now, number, "read", next(draws[n]), 2_500.0):
+                if action[0] == "attempt":
+                    balancer.on_outcome(now + 5.0, number, 0, True, "success", action[2], 5.0, 1)
+        if now % 125.0 == 0.0:
+            sends = [(n, to, data) for n, tier in enumerate(tiers) for to, data in tier.tick(now)]
+            while sends:
+                sends = [
+                    (to, back, more) for n, to, data in sends if deaf not in (n, to) for back, more in tiers[to].receive(n, data, now)
+                ]  # fmt: skip
+
+
+def test_nodes_that_hear_one_another_cut_alike_and_one_that_hears_nobody_by_its_own_window() -> None:
+    balancers, tiers = nodes(5)
+    played(balancers, tiers, 30_000.0, deaf=4)
+    cuts = [balancer.line.cuts for balancer in balancers]
+    homes = [[balancer.line.range_of(position_of(key)) for key in KEYS] for balancer in balancers]
+    apart = [sum(a != b for a, b in zip(homes[0], other, strict=True)) / len(KEYS) for other in homes[1:]]
+    assert max(apart[:3]) < 0.01, apart  # those that hear one another
+    assert apart[3] > 0.05, apart  # the deaf one, as all were before
+    assert balancers[4].line.shared is None and balancers[0].line.shared is not None
+    assert cuts[0] != Line(RANGES).cuts
+
+
+def test_a_table_needs_all_its_pages_and_ends_when_nothing_more_is_told() -> None:
+    lines = Lines()
+    assert lines.table(RANGES, 0.0) is None
+    assert not lines.page(5, 2, 0, 2, packed([(9, 0.1)]), 10.0)
+    assert not lines.page(5, 2, 0, 2, packed([(9, 0.1)]), 11.0)  # a double
+    assert not lines.page(5, 1, 1, 2, packed([(8, 0.1)]), 12.0)  # of an older one
+    assert not lines.page(5, 2, 1, PAGES + 1, b"", 12.0)
+    assert lines.page(5, 2, 1, 2, packed([(8, 0.05)]), 13.0)
+    table = lines.table(RANGES, 20.0)
+    assert table is not None and table is lines.table(RANGES, 30.0) and table.share(9.5 / BUCKETS) == pytest.approx(0.1, rel=0.03)
+    other = lines.table(4_096, 30.0)
+    assert other is not None and len(other.cuts) == 4_095
+    assert lines.table(RANGES, 13.0 + STALE_MS + 1.0) is None
--- a/tests/tier/test_model.py
+++ b/tests/tier/test_model.py
@@ -65,6 +65,37 @@
     assert sizes <= 6.0 + 4.0  # it counts for four times the median at most
 
 
+def test_nodes_come_ten_at_a_time_and_go_again() -> None:
+    """Of 24 `peers` four run, then 14, then all, then 14, then four, which are no majority: floors, as at the first."""
+    tens = tuple(range(4, 14)), tuple(range(14, 24))
+    script = Script(24, 90.0, skewed=False)
+    night = Night(script, 5)
+    for ten in tens:
+        night._do_kill(Trouble(0.0, "kill", ten, 0.0))
+    expected = []
+    for step, alive in (("", 4), ("come", 14), ("come", 24), ("go", 14), ("go", 4)):
+        ten = tens[0] if alive == 14 and step == "come" or alive == 4 else tens[1]
+        for slot in ten if step == "come" else ():
+            night._revive(slot)
+        if step == "go":
+            night._do_kill(Trouble(0.0, "kill", ten, 0.0))
+        night.run(night.now + 15_000.0)
+        held = [node.holds(bound) for bound in BOUNDS for node in night.alive()]
+        expected.append((len(night.alive()), min(held) > 0.9 * WHOLE / alive if alive > 12 else max(held) == 0))
+    assert expected == [(4, True), (14, True), (24, True), (14, True), (4, True)]
+    assert night.failures == []
+
+
+def test_a_minute_and_a_half_of_a_cut_one_way_and_the_end_of_it() -> None:
+    """What n0 and n1 send reaches nobody, and they hear all: they ask and are answered in vain, and hold nothing that counts twice."""
+    script = Script(5, 130.0, skewed=True, troubles=[Trouble(10_000.0, "one_way", (0, 1), 90_000.0)])
+    night = Night(script, 8).run(95_000.0)
+    others = [node.holds(0) for node in night.nodes[2:]]
+    assert min(others) > 0.9 * WHOLE / 3 and [node.holds(0) for node in night.nodes[:2]] == [0, 0]
+    night.run()
+    assert min(node.holds(0) for node in night.nodes) > 0.9 * WHOLE / 5 and night.failures == []
+
+
 def test_a_cut_in_halves_leaves_one_keeper_and_ends_in_one() -> None:
     script = Script(7, 40.0, skewed=False, troubles=[Trouble(8_000.0, "cut", (0, 1, 2), 15_000.0)])
     night = Night(script, 2).run(21_000.0)
--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -10,10 +10,12 @@
 import time
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import pytest
 
 from forkweir.tier.lending import WHOLE
+from testbed.nights.rules import Rules
 from testbed.nights.script import BadScript, Script, parse_script
 from testbed.tier.books import ColdBox, Span, at_time, most_held, spans_of
 from testbed.tier.defects import planted
@@ -72,6 +74,8 @@
     assert report["requests"]["served"] > 800
     assert {name for name, view in report["datagrams"].items() if view["malformed"] and view["stranger"]} == {"n1"}
     assert all(view["in"] > 50 for view in report["datagrams"].values())
+    assert len(report["held"]) == report["leases"] and {row[2] for row in report["held"]} == {f"n{n}" for n in range(5)}
+    assert len({line for line in report["lines"].values() if line}) <= 2  # the same table everywhere, but for one on its way
 
 
 def test_the_same_script_on_the_virtual_clock_and_a_planted_lease_that_never_ends_is_found() -> None:
@@ -83,6 +87,24 @@
         assert any("shares add up" in failure for failure in run_virtual(script(MIXED), 1)["failures"])
 
 
+def test_while_two_configurations_of_peers_run_nothing_is_dealt_and_afterwards_it_is() -> None:
+    other = b'[[fault]]\nat_ms = 3000\nkind = "node_other"\ntarget = 2\nfor_ms = 3000\n'
+    night = NIGHT.replace(b'tier = "on"', b'tier = "on"\ntier_period_ms = 100.0') % (CROWD + other)
+    world = parse_script(night)
+    taken: list[float] = []
+    usual = Rules._shares
+
+    def shares(self: Rules, bound: int) -> None:
+        taken.append(self._now() / 1e6)
+        usual(self, bound)
+
+    with patch.object(Rules, "_shares", shares):
+        report = run_virtual(world, 2)
+    assert report["failures"] == [] and len(report["keepers"]) == 1
+    assert [at for at in taken if at < 3.0] and [at for at in taken if at > 7.5]
+    assert [at for at in taken if 3.6 < at < 6.0] == []
+
+
 @pytest.mark.parametrize(
     ("fault", "what"),
     [
--- a/tests/tier/test_wire.py
+++ b/tests/tier/test_wire.py
@@ -22,10 +22,12 @@
     wire.Ping(*HEAD, TOP, True, NEWS),
     wire.Ack(*HEAD, TOP, NEWS),
     wire.Relay(*HEAD, TOP, wire.MOST_NODES - 1, NEWS),
-    wire.Call(*HEAD, TOP, TOP, True, TOP, 0xFFFF, SCALE, GRANTS),
-    wire.Reply(*HEAD, TOP, TOP, TOP, True, SCALE, WANTS),
+    wire.Call(*HEAD, TOP, TOP, True, TOP, 0xFFFF, SCALE, True, GRANTS),
+    wire.Reply(*HEAD, TOP, TOP, TOP, True, True, SCALE, WANTS),
     wire.Leave(*HEAD),
     wire.Back(*HEAD, TOP),
+    wire.Heavy(*HEAD, TOP, 15, wire.LARGEST, bytes(198)),
+    wire.Line(*HEAD, TOP, 15, 15, bytes(198)),
 ]
 
 
