Who comes between two beats is called at once; the rig starts a node once

A node that came was called with the next beat only.

Change: a keeper calls whoever it learns of at its next tick. The rig holds off a second start while one is under way. A keeper that outlasts its majority is shown by cuts written for it, as drawn nights find it too seldom.

--- a/forkweir/tier/tier.py
+++ b/forkweir/tier/tier.py
@@ -98,6 +98,8 @@
         self._rest_ms = 0.0
         self._foreign_ms = -1e12  # when it last heard itself of another digest,
         self._foreign_told_ms = -1e12  # and when another said that it had
+        self._reached: set[int] = set()  # who was called in the last beat,
+        self._beat_number = 0  # and the number of that call
         self._beats = 0
         self._next_word_ms = now
         self._words = 0  # on boxes, that were told
@@ -128,6 +130,8 @@
             if self._stands(now):
                 sends += self._call_all(now)
             sends += self._say_back()
+        elif self._reached and self.keeps(now):
+            sends += self._call_new()
         return self._counted(sends)
 
     def leave(self, now: float) -> list[Send]:
@@ -169,6 +173,8 @@
         self._beats += 1
         heavy = self._beats % LINE_BEATS == 0
         hold_ms = dealer.hold_ms(HOLD_BEATS * self.beat_ms, now)
+        self._reached.clear()
+        self._beat_number = number
         self._tell_own(now)
         dealt = self._deal(hold_ms, now) if hold_ms else {}
         sizes = wire.scaled(self.sizes[0]), wire.scaled(self.sizes[1])
@@ -176,6 +182,7 @@
         for slot in range(self.count):
             if self.members.state(slot) in ("dead", "left") and slot != self.slot:
                 continue
+            self._reached.add(slot)
             known = told[slot]
             grants = list(dealt.get(slot, {}).items())
             if slot == self.slot:
@@ -192,6 +199,14 @@
         if hold_ms and heavy:
             yield from self._tell_line(number, now)
 
+    def _call_new(self) -> Iterator[Send]:
+        """Between two beats, call those that have come since the last one, so that they have their parts a beat sooner."""
+        for slot in self.members.there():
+            if slot != self.slot and slot not in self._reached:
+                self._reached.add(slot)
+                sizes = wire.scaled(self.sizes[0]), wire.scaled(self.sizes[1])
+                yield self._send(slot, wire.Call(*self._head(), 0, self._beat_number, True, 0, 0, sizes, False, ()))
+
     def _tell_line(self, number: int, now: float) -> Iterator[Send]:
         """Merge what all nodes are asked for often, and tell them."""
         lines, oldest = self.claims.lines, now - 2.0 * LINE_BEATS * TOLD * self.beat_ms
--- a/testbed/tier/processes.py
+++ b/testbed/tier/processes.py
@@ -150,6 +150,7 @@
     config: dict[str, Any]
     path: Path
     lives: list[Life] = field(default_factory=list)
+    starting: bool = False
     hurt: list[tuple[float, float]] = field(default_factory=list)  # spans in which it was killed, stood still, or ended
 
     @property
@@ -264,8 +265,15 @@
 
     async def start_node(self, node: NodePlace) -> None:
         """Start a process of a node, under its name and addresses."""
-        if node.life is not None:
-            return
+        if node.life is not None or node.starting:
+            return  # two faults of one node may both want it back
+        node.starting = True
+        try:
+            await self._spawn_node(node)
+        finally:
+            node.starting = False
+
+    async def _spawn_node(self, node: NodePlace) -> None:
         environ = {**os.environ, "PROXY_CONFIG": str(node.path), "PYTHONPATH": str(ROOT), "TMPDIR": str(self.folder)}
         environ["GRADESHIFT_OPERATOR"] = str(self.operator)
         with open(self.folder / f"{node.name}.log", "ab") as log:
--- a/tests/tier/test_model.py
+++ b/tests/tier/test_model.py
@@ -18,12 +18,26 @@
     assert held > 120  # in most of them something is dealt
 
 
-@pytest.mark.parametrize("defect", [name for name in DEFECTS if name not in ("any-process", "late-word")])  # test_lending has these two
+RARE = ("any-process", "late-word", "outlasts-its-majority")  # the first two are held by test_lending, the third here below
+
+
+@pytest.mark.parametrize("defect", [name for name in DEFECTS if name not in RARE])
 def test_planted_defects_are_found_by_the_first_eighty_nights(defect: str) -> None:
     with planted(defect):
         assert any(play(seed) for seed in range(1, 81))
 
 
+def test_a_keeper_that_outlasts_its_majority_is_found_when_it_is_cut_off_with_one_other() -> None:
+    def failures() -> list[str]:
+        pairs = ((0, 1), (1, 2), (2, 3), (3, 4), (4, 0))
+        scripts = [Script(5, 25.0, troubles=[Trouble(8_000.0, "cut", pair, 15_000.0)]) for pair in pairs]
+        return [failure for script in scripts for failure in Night(script, 1).run().failures]
+
+    assert failures() == []
+    with planted("outlasts-its-majority"):
+        assert failures()
+
+
 def test_the_same_seed_is_the_same_night() -> None:
     def told(seed: int) -> tuple[int, int, dict[int, int]]:
         night = Night(draw(seed), seed).run()
@@ -89,6 +103,18 @@
     assert min(node.holds(0) for node in night.nodes) > 0.9 * WHOLE / 5 and night.failures == []
 
 
+def test_one_that_comes_between_two_beats_is_called_at_once() -> None:
+    night = Night(Script(5, 30.0, skewed=False, troubles=[Trouble(8_000.0, "kill", (4,), 0.0)]), 6).run(16_000.0)
+    keeper = next(node for node in night.nodes if node.tier.keeps(node.now))
+    night._revive(4)
+    while 4 not in keeper.tier.members.there():
+        night.run(night.now + 5.0)
+    heard = night.now
+    while not night.nodes[4].tier.dealer.holdings.replies(0.0) > 1:
+        night.run(night.now + 5.0)
+    assert night.now - heard < 0.5 * keeper.tier.beat_ms, night.now - heard
+
+
 def test_a_cut_in_halves_leaves_one_keeper_and_ends_in_one() -> None:
     script = Script(7, 40.0, skewed=False, troubles=[Trouble(8_000.0, "cut", (0, 1, 2), 15_000.0)])
     night = Night(script, 2).run(21_000.0)
