--- a/corkshift/tier/options.py
+++ b/corkshift/tier/options.py
@@ -21,8 +21,8 @@
     period_ms: Annotated[float, msgspec.Meta(ge=50.0, le=10_000.0)] = PERIOD_MS  # between two questions, and two beats of a keeper
     shares: bool = True  # whether this node has its part of what cold boxes get,
     fetches: bool = False  # and of the fetches in flight while the order book presses,
-    line: bool = True  # cuts from the common line,
-    signals: bool = False  # and tells and heeds which boxes are bad; of the two that are off see docs/tier.md
+    line: bool = False  # cuts from the common line,
+    signals: bool = False  # and tells and heeds which boxes are bad; of the three that are off see docs/tier.md
 
     def options(self) -> Options:
         """In the terms of the tier."""
--- a/forkweir/tier/options.py
+++ b/forkweir/tier/options.py
@@ -21,8 +21,8 @@
     floor: float = FLOOR
     period_ms: float = PERIOD_MS
     shares: bool = True
-    fetches: bool = False  # measured on overloaded days these two cost more than they gain (docs/tier.md)
-    line: bool = True
+    fetches: bool = False  # these three did not pay at full size (docs/tier.md)
+    line: bool = False
     signals: bool = False
 
     def beat_ms(self, count: int) -> float:
--- a/tests/tier/test_lines.py
+++ b/tests/tier/test_lines.py
@@ -11,6 +11,7 @@
 from forkweir.line import Line, equal_cuts, position_of
 from forkweir.settings import ClassSpec, Server, Settings
 from forkweir.tier.lines import BUCKETS, MOST_SHARES, PAGES, STALE_MS, WINDOW, Lines, Sketch, cuts_of, merged, packed, unpacked
+from forkweir.tier.options import Options
 from forkweir.tier.seat import Seat
 from forkweir.tier.tier import Tier
 
@@ -85,7 +86,7 @@
 def nodes(count: int) -> tuple[list[Balancer], list[Tier]]:
     settings = Settings(classes=(ClassSpec("read", aim_ms=750, deadline_ms=2_500),), max_attempts=3)
     balancers = [Balancer(settings, n) for n in range(count)]
-    tiers = [Tier(n, count, 100 + n, 1, 0.0) for n in range(count)]
+    tiers = [Tier(n, count, 100 + n, 1, 0.0, Options(line=True)) for n in range(count)]
     for balancer, tier in zip(balancers, tiers, strict=True):
         balancer.on_list(0.0, "full", [Server(f"s{n}") for n in range(20)])
         Seat(balancer, tier)
