--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -87,8 +87,9 @@
         """Close between requests, or in the middle of one, unless more has come meanwhile: the kernel is asked too.
 
         Guards against a request that is closed on with its rest in the socket's buffer: once its last byte is written it is taken.
+        And against a last answer that is reset on its way, as a close over unread input does; its lingering is short.
         """
-        if not self.over and (self._pending or self._pumping or not self._stream.quiet):
+        if (not self.over and (self._pending or self._pumping)) or not self._stream.quiet:
             return False
         self._stream.close()
         self._task.cancel()
--- a/forkweir/known/asking.py
+++ b/forkweir/known/asking.py
@@ -64,8 +64,9 @@
         """
         self._failures = min(self._failures + 1, LONGEST)
         if self._agent:
-            soon, self._at = now - self._at < AGENT_MS, now
-            return AGENT_MS if soon else 0.0
+            wait = AGENT_MS if now - self._at < AGENT_MS else 0.0
+            self._at = now + wait
+            return wait
         if lost:
             self._urgent = min(URGENT_MOST, self._urgent + max(0.0, now - self._at) / URGENT_MS)
             self._at = now
--- a/tests/forkweir/test_asking.py
+++ b/tests/forkweir/test_asking.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from forkweir.known.asking import AGAIN_MS, LONGEST, SPREAD_MS, URGENT_MOST, URGENT_MS, WAIT, Asking
+from forkweir.known.asking import AGAIN_MS, AGENT_MS, LEAST_MS, LONGEST, SOON_MS, SPREAD_MS, URGENT_MOST, URGENT_MS, WAIT, Asking
 
 
 def test_a_loss_is_asked_about_at_once_and_the_next_failure_waits() -> None:
@@ -57,3 +57,20 @@
     assert asking.wait(True, 1_010.0 + first + second) > 250.0  # its budget is spent
     asking.heard()
     assert asking.wait(True, 1_000.0 + 3.0 * URGENT_MS) < SPREAD_MS
+
+
+def test_whatever_the_settings_give_a_silent_watch_is_asked_about_in_time() -> None:
+    # What it misses counts as told 6 s after it fell silent; it is found after 3.2 s, and the call takes a while too.
+    for within_ms in (0.0, 100.0, 10_000.0, 60_000.0, 3_600_000.0):
+        waits = [Asking(within_ms, random.Random(n)).wait(False, 0.0) for n in range(200)]
+        assert LEAST_MS <= min(waits) and max(waits) <= 1.3 * SOON_MS
+
+
+def test_an_agent_on_this_machine_is_called_at_once_but_not_without_end() -> None:
+    asking, now, calls = Asking(10_000.0, random.Random(5), agent=True), 1_000.0, 0
+    while now < 3_000.0:  # it takes the calls and ends them, at once
+        now += asking.wait(calls % 2 == 0, now)
+        calls += 1
+    assert 2_000.0 / AGENT_MS - 2 <= calls <= 2_000.0 / AGENT_MS + 2
+    asking.heard()
+    assert asking.wait(True, 5_000.0) == 0.0
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -80,6 +80,20 @@
     play(test)
 
 
+def test_a_last_answer_is_not_reset_by_a_close_over_unread_input() -> None:
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            sock = client(made, b"BREW /pot HTTP/1.1\r\nHost: x\r\n\r\n")
+            await until(lambda: any(connection.over for connection in made.frontend._connections))
+            sock.sendall(b"more of it")
+            assert not only(made).close_if_unread()
+            assert status(await read(sock)) == 501
+            assert await read(sock) == b""  # an end, and no reset
+            sock.close()
+
+    play(test)
+
+
 # -- told to end ---------------------------------------------------------------------------------
 
 
