Lists that come indented are read; ids of open requests are kept until their end

A row that ends as one within an object does, with brackets open, begins an object of several rows; an empty row or a brace at the margin ends what broke off. Ruled out: waiting for balance alone, one cut line would swallow all that follow.

Also node.used: ids of open requests were pushed out by 8,192 later ones; they are kept apart until their end.

--- a/corkshift/listing.py
+++ b/corkshift/listing.py
@@ -35,6 +35,9 @@
 LONGEST_ENTRY = 4_096  # bytes
 _ENTRY = re.compile(rb"\{[^{}]{2,%d}\}" % LONGEST_ENTRY)  # entries hold no objects
 _NAMED = re.compile(rb'"instanceId"\s*:\s*"([!-~]{1,128}?)"')
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+_OPENS, _CLOSES = (b"{", b"["), (b"}", b"]")
+_GOES_ON = (b"{", b"[", b",")  # what a row ends with behind which an object goes on
 _WHOLE_LIST = re.compile(rb'"reset"\s*:\s*true')
 
 
@@ -51,12 +54,19 @@
 
 
 class Lines:
-    """The body of one watch: whole lines, and what stands whole in the one that has begun."""
+    """The body of one watch: whole lines, and what stands whole in the one that has begun.
 
-    __slots__ = ("_part", "_searched", "_claimed", "_scanned")
+    An object may come indented, over several rows. It begins with a row that breaks where an indented one does and leaves brackets open,
+    and ends where they are closed. An empty row, or one that begins with a brace at its margin, is the next line: what is open before
+    it broke off (guards against one cut line that swallows all that come after it).
+    """
+
+    __slots__ = ("_part", "_row", "_depth", "_searched", "_claimed", "_scanned")
 
     def __init__(self) -> None:
         self._part = bytearray()
+        self._row = 0  # where the row begins that is under way,
+        self._depth = 0  # and how many brackets are open before it
         self._searched = 0  # no line ends before this byte,
         self._claimed = 0  # and no entry that is not told yet begins before this one
         self._scanned = 0  # how much there was when claims were last asked for
@@ -71,13 +81,22 @@
         part = self._part
         part += data
         lines = []
-        at = 0
-        while (end := part.find(b"\n", max(at, self._searched))) >= 0:
-            lines.append(bytes(part[at:end]).strip())
-            at = end + 1
+        at, row = 0, self._row
+        while (end := part.find(b"\n", max(row, self._searched))) >= 0:
+            text = bytes(part[row:end]).strip()
+            if self._depth and (not text or part.startswith(b"{", row)):
+                lines.append(bytes(part[at:row]).strip())
+                at, self._depth = row, 0
+            if self._depth or text.endswith(_GOES_ON):
+                self._depth = max(0, self._depth + _opened(text))
+            row = end + 1
+            if not self._depth:
+                lines.append(bytes(part[at:end]).strip())
+                at = row
         if at:
             del part[:at]
             self._claimed = self._scanned = 0
+        self._row = row - at
         self._searched = len(part)
         if len(part) > MAX_LINE:
             raise BadList("a line without end")
@@ -99,6 +118,12 @@
         return bytes(self._part)
 
 
+def _opened(row: bytes) -> int:
+    """How many more brackets a row of JSON opens than it closes."""
+    bare = _STRING.sub(b"", row)
+    return sum(map(bare.count, _OPENS)) - sum(map(bare.count, _CLOSES))
+
+
 def claims_of(text: bytes) -> list[Claim]:
     """What can be read of a line that is spoilt or cut: entries that stand whole, and of changes also which server a broken one names.
 
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -41,13 +41,13 @@
         self._windows = {spec.name: spec.repeat_window_ms for spec in config.settings.classes if spec.repeat == "keyed"}
         self._id_memory_ms = max(ID_MEMORY_MS, max(self._deadlines.values(), default=0.0) + ID_MORE_MS)
         self._calls: dict[int, Call] = {}
-        self._ids: dict[bytes, float] = {}  # of open requests and late ones: when each came, oldest first
+        self._ids: dict[bytes, float] = {}  # of late requests: when each came, oldest first
         self.busy = Answer(503, retry_after_s=config.settings.backoff_max_ms / 1000.0)
         self._attempts: dict[tuple[int, int], asyncio.Task[Outcome]] = {}
         self._running: dict[tuple[int, int], Attempt] = {}
         self._tries: dict[int, int] = {}
         self._streams: dict[int, Call] = {}  # whose answers have begun and not ended: nothing is left to decide about them
-        self._lasting: set[bytes] = set()  # ids of requests that may be open for longer than ids are remembered
+        self._open_ids: set[bytes] = set()  # of open requests, whatever is remembered of late ones
         self._last_id = 0
         self._told: dict[str, int] = {}  # refusals by cause as the log last had them,
         self._told_ms = 0.0  # and when
@@ -98,12 +98,13 @@
         before = now_ms() - self._id_memory_ms
         while self._ids and (len(self._ids) > IDS_MOST or next(iter(self._ids.values())) < before):
             del self._ids[next(iter(self._ids))]
-        return txn in self._ids or txn in self._lasting
+        return txn in self._ids or txn in self._open_ids
 
     def submit(self, call: Call) -> None:
         """A whole request has come, or the beginning of one too large to hold; its final answer is owed from now on."""
         now = now_ms()
         self._ids[call.txn] = now
+        self._open_ids.add(call.txn)
         self._last_id += 1
         call.id = self._last_id
         # No client waits longer than its class allows (guards against requests that are held for days).
@@ -114,8 +115,6 @@
         self._tries[call.id] = 0
         if call.feed is None:
             self._guard(call, budget)
-        else:
-            self._lasting.add(call.txn)
         self._decide(
             call,
             lambda: self._balancer.on_request(
@@ -238,7 +237,7 @@
         """A request is over: what is still out for it ends."""
         if call.backstop is not None:
             call.backstop.cancel()
-        self._lasting.discard(call.txn)
+        self._open_ids.discard(call.txn)
         if call.feed is not None:
             call.feed.close()
         for n in range(self._tries.pop(call.id, 0)):
@@ -330,7 +329,6 @@
         if not call.open or self._calls.pop(call.id, None) is None:
             return False
         self._streams[call.id] = call
-        self._lasting.add(call.txn)
         if call.backstop is not None:
             call.backstop.cancel()
         winner = 0
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -116,3 +116,47 @@
     text = line([entry(0), {**entry(2, "in_service"), "hostPort": place}])
     assert [server.name for server, _ in parse(text)[2]] == ["s0"]
     assert told(claims_of(text[:-2] + b" ")) == {"s0": "draining", "s2": "unreadable"}
+
+
+@given(
+    lists=st.lists(st.tuples(st.integers(0, 3), st.sampled_from([0, 1, 2, 4, "\t", "as the page has it"]), st.integers(0, 2)), max_size=5),
+    cuts=st.lists(st.integers(1, 400), max_size=12),
+    end=st.sampled_from(["\n", "\r\n"]),
+)
+def test_an_object_may_come_indented_and_in_any_pieces(lists: list[tuple[int, int | str, int]], cuts: list[int], end: str) -> None:
+    text = b""
+    wanted: list[dict[str, object] | None] = []
+    for size, indent, beats in lists:
+        data = {"generation": len(wanted), "reset": False, "instances": [entry(n) for n in range(size)], "note": "} ], {\" \\"}
+        if indent == "as the page has it":
+            rows = json.dumps(data).replace(": [{", ": [\n  {").replace("}, {", "},\n  {")
+        else:
+            rows = json.dumps(data, indent=indent or None)
+        text += (rows + "\n" + "\n" * beats).replace("\n", end).encode()
+        wanted += [data, *[None] * beats]
+    lines, parser, at = [], Lines(), 0
+    for cut in [*cuts, len(text)]:
+        lines += parser.receive(text[at : at + cut])
+        at += cut
+    assert [json.loads(one) if one else None for one in lines] == wanted
+    assert not parser.unfinished
+
+
+@pytest.mark.parametrize("behind", [b"\n", line([entry(5)])], ids=["heartbeat", "list"])
+@pytest.mark.parametrize("cut", [1, 20, 80, 200, 400])
+def test_an_indented_object_that_breaks_off_swallows_nothing(behind: bytes, cut: int) -> None:
+    # What comes next is read as ever, and of the broken one each entry that stands whole is still found.
+    text = json.dumps(json.loads(TEXT), indent=2).encode()
+    broken = text[: text.rindex(b"\n", 0, cut + 2)] if b"\n" in text[: cut + 2] else text[:cut]
+    lines = Lines().receive(broken + b"\n" + behind)
+    assert lines[-1] == behind.strip() and len(lines) == 2
+    with pytest.raises(BadList):
+        parse(lines[0])
+
+
+def test_an_indented_object_without_end_is_bounded() -> None:
+    parser = Lines()
+    parser.receive(b'{"generation": 1, "instances": [\n')
+    with pytest.raises(BadList):
+        while True:
+            parser.receive(b'  {"instanceId": "s1"},\n' * 1_000)
