SIGHUP does not end a node that is just starting, and what it told of is heeded

Between prepare and add_signal_handler it was ignored, and with it the configuration it told of. run ignores SIGHUP before its exec (an ignored signal stays so over exec), and a node that listens for it reads its file again once. Ruled out: a wrapper in Python, which starts as late.

Both new tests fail without the mend (run so).

Also: a client's connection that ends departs what is left of it before it lingers, not after.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -141,6 +141,7 @@
             reader.cancel()
             await asyncio.gather(reader, return_exceptions=True)
             self._stream.notice = None
+            self._depart()  # none is left but by a fault, and what is left must not be worked on while the connection lingers
             self.over = True
             self._frontend.rests(self)
             await self._stream.finish()
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -100,6 +100,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         self.discovery.start(self.config.known)
+        self._catch_up()
         if self.sources is not None:
             self.sources.start()
         if self.tier is not None:
@@ -121,6 +122,15 @@
         if self.admin is not None:
             self.admin.close()
 
+    def _catch_up(self) -> None:
+        """Go where discovery is, if the file has changed since it was read: a SIGHUP between then and now was ignored."""
+        try:
+            fresh = load(seam.environ())
+        except BadConfig:
+            return
+        if fresh.discovery != self.config.discovery:
+            self.reload()
+
     async def _first_list(self) -> None:
         """Until the agent has told its list, or this node is to end, or FIRST_LIST_S are over."""
         waits = [asyncio.create_task(self.discovery.told()), asyncio.create_task(self._stop.wait())]
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -6,15 +6,17 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import tomllib
 from pathlib import Path
 from typing import Any
 
+import orjson
 import pytest
 from loopback import OPTIONS, CacheBox, Registry, entry, options_of, play, request, rig, send_to, status, until
 
-from corkshift.config import Config, config_of
+from corkshift.config import Config, config_of, load
 from corkshift.figures import Figures
 from corkshift.node import Node
 from corkshift.service import Service
@@ -306,3 +308,25 @@
 
 def test_settings_load_without_any_of_the_optional_parts() -> None:
     assert settings_of({}).second_copies and settings_of({"services": [{"name": "x"}]}).classes[0].repeat == "unsafe"
+
+
+def test_a_configuration_that_changed_before_anybody_heard_a_sighup_is_in_force(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        old, new = Registry({}), Registry({})
+        for registry in (old, new):
+            registry.start()
+        path = tmp_path / "config.json"
+        text = {"listen": f"127.0.0.1:{free_port()}", "seed": "1", "settings": OPTIONS}
+        monkeypatch.setenv("PROXY_CONFIG", str(path))
+        path.write_bytes(orjson.dumps({**text, "discovery": f"127.0.0.1:{old.port}"}))
+        service = Service(load(os.environ))
+        path.write_bytes(orjson.dumps({**text, "discovery": f"127.0.0.1:{new.port}"}))  # and a SIGHUP that was ignored
+        running = asyncio.create_task(service.run())
+        await until(lambda: bool(new.asked))
+        assert old.asked == []
+        service.stop()
+        await running
+        for registry in (old, new):
+            await registry.stop()
+
+    play(test)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import re
+import signal
 import struct
 import sys
 import tomllib
@@ -18,11 +19,30 @@
 
 
 def test_run_is_one_plain_exec_and_names_what_build_leaves() -> None:
-    assert re.fullmatch(r"exec \.venv/bin/python -m corkshift", DEPLOY["run"])
+    # SIGHUP is ignored from the first moment: until the interpreter is up nobody else could see to that.
+    assert re.fullmatch(r"trap '' HUP; exec \.venv/bin/python -m corkshift", DEPLOY["run"])
     assert re.fullmatch(r"exec \.venv/bin/python -m forkweir\.adapter", DEPLOY["sim"])
     assert DEPLOY["packages"] == [] and "requirements.txt" in DEPLOY["build"] and "sudo" not in DEPLOY["build"]
 
 
+def test_a_sighup_before_anything_is_set_up_does_not_end_the_node() -> None:
+    # The interpreter of `run` is signalled when it is up and has read nothing of ours yet.
+    async def test() -> None:
+        code = "import os; os.write(1, b'up\\n'); os.read(0, 1); os.write(1, b'alive')"
+        run = DEPLOY["run"].replace(".venv/bin/python -m corkshift", '"$@"')
+        pipe = asyncio.subprocess.PIPE
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", run, "run", sys.executable, "-c", code, stdin=pipe, stdout=pipe
+        )
+        assert process.stdout is not None
+        assert await process.stdout.readline() == b"up\n"
+        process.send_signal(signal.SIGHUP)
+        out, _ = await process.communicate(b"x")
+        assert (out, process.returncode) == (b"alive", 0)
+
+    play(test)
+
+
 def test_the_interpreter_is_linked_dynamically() -> None:
     # An ELF program with an interpreter segment (PT_INTERP) is loaded by the C library's loader, which heeds LD_PRELOAD.
     data = Path(sys.executable).resolve().read_bytes()
