An end behind more bytes than one read takes is heard before a kept connection's request goes on

Seen by a probe: a request, 70 KB of empty lines and the end of the stream come while the node stands still, on a connection that has been used. The first read takes 64 KiB, the request is admitted and its attempt runs a turn later, two turns before the end is read; the look at what has waited does not help, as the node has it since now. _admit looked at the first request of a connection only. Stream notes that a read took all it could, and _admit asks the kernel (poll) then: nothing on the ordinary path but one attribute.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -288,9 +288,9 @@
         # A connection that waited in the backlog may have been given up by now, its end right behind its request (guards
         # against work for clients who have left, when accepting had stopped for want of descriptors). It costs one look at the
         # socket for each new connection. Harm: none, a client that ends its side has gone away.
-        # Where bytes stand before that end, the kernel alone knows of it.
-        new = not (self.served or self._pending)
-        if new and not self._stream.quiet and (self._stream.ended or self._stream.abandoned):
+        # Where more bytes stand before that end than were read, the kernel alone knows of it.
+        stream, new = self._stream, not (self.served or self._pending)
+        if (stream.crowded or (new and not stream.quiet)) and (stream.ended or stream.abandoned):
             budget.give(held)
             raise ConnectionAbortedError("the client has left")
         if held:  # nearly all requests have no body, and nothing to give back
--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -26,7 +26,8 @@
     """One connection. Reads go on by themselves until the buffer is full; writes end when the kernel has the bytes."""
 
     __slots__ = (
-        "_loop", "_sock", "_in", "_held", "_reading", "_reader", "_writer", "ended", "error", "closed", "notice", "most", "_overdue",
+        "_loop", "_sock", "_in", "_held", "_reading", "_reader", "_writer", "ended", "error", "closed", "notice", "most", "crowded",
+        "_overdue",
     )  # fmt: skip
 
     def __init__(self, sock: Socket) -> None:
@@ -41,6 +42,7 @@
         self.error: Optional[OSError] = None
         self.closed = False
         self._overdue = False
+        self.crowded = False  # the last read took as much as it could: more may stand behind it, and the peer's end behind that
         self.most = CHUNK  # bytes of one read, and of input held before reading pauses
         self.notice: Optional[Callable[[], None]] = None  # called when input comes or ends
         sock.setblocking(False)
@@ -192,6 +194,7 @@
         if not size:
             self._end(None)
             return
+        self.crowded = size == self.most
         self._in.append(bytes(_SCRATCH[:size]))
         self._held += size
         if self._held >= self.most:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -152,7 +152,7 @@
     play(test)
 
 
-@pytest.mark.parametrize("before", BEFORE, ids=["bare", "line", "half"])
+@pytest.mark.parametrize("before", [*BEFORE, b"\r\n" * 35_000], ids=["bare", "line", "half", "more-than-a-read"])
 def test_while_the_node_stood_still_on_a_kept_connection(before: bytes) -> None:
     # Request and end come in one moment: the end is heard a turn of the loop after the request was read.
     async def test() -> None:
