--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import os
-import socket
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -15,6 +14,7 @@
 import orjson
 import pytest
 from loopback import OPTIONS, CacheBox, Registry, entry, options_of, play, request, rig, send_to, status, until
+from test_process import free_port
 
 from corkshift.config import Config, config_of, load
 from corkshift.figures import Figures
@@ -182,13 +182,6 @@
     )
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 def test_where_lists_are_pushed_they_are_followed_from_the_first_moment(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against a node that serves by the list as it last was and never hears of a drain.
     monkeypatch.setattr("corkshift.service.FIRST_LIST_S", 30.0)
