--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -290,7 +290,7 @@
         # socket for each new connection. Harm: none, a client that ends its side has gone away.
         # Where more bytes stand before that end than were read, the kernel alone knows of it.
         stream, new = self._stream, not (self.served or self._pending)
-        if (stream.crowded or (new and not stream.quiet)) and (stream.ended or stream.abandoned):
+        if (stream.crowded or (new and not stream.quiet)) and stream.abandoned:
             budget.give(held)
             raise ConnectionAbortedError("the client has left")
         if held:  # nearly all requests have no body, and nothing to give back
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -71,7 +71,8 @@
 
     async def connect(self, server: CacheServer) -> Stream:
         """A connection to a server: the one that rested least, but long enough, or a new one."""
-        rested, old = now_ms() - REST_MS, now_ms() - self._idle_ms
+        now = now_ms()
+        rested, old = now - REST_MS, now - self._idle_ms
         for since_ms, stream in reversed(list(server.idle)):
             if since_ms > rested:
                 continue
