--- /dev/null
+++ b/testbed/soak/large_fleet.py
@@ -0,0 +1,358 @@
+"""One node process with a share of a core beside up to thousands of cache servers, while servers are replaced; the rules are the soak's.
+
+    python -m testbed.soak.large_fleet --servers 200,3200 --shares 1.0,0.1 [--seconds 18] [--replace-every 1.5] [--json FILE]
+
+One listener serves all cache servers: each has an address of its own in 127.64.0.0/10 and all have one port. The node's process gets
+its share from the preloaded library of `shim`. Clients ask before the first list is written. Ends by itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any, Optional
+
+import click
+
+from corkshift import seam
+from corkshift.seam import Address, now_ms
+from corkshift.stream import KERNEL_BUFFER
+from testbed.soak.discovery import Entry, ListOfServers, Place, started_entry
+from testbed.soak.oracle import Oracle, Rule, Spans
+from testbed.soak.shim import Shim, build
+from testbed.systems.clients import CLASSES, Ask, Clients, settings
+from testbed.systems.serving import Connection, Message, Server, fetch
+from testbed.systems.standins import BoxSpec
+from testbed.tier.books import ColdBox
+from testbed.tier.processes import HOST, Ports, die_with_parent
+
+ROOT = Path(__file__).parents[2]
+NODE = "n0"
+LOOPBACK_DEVICE = b"lo"
+FIRST_ADDRESS = (127 << 24) + (64 << 16) + 1
+SERVICE_S = 0.02  # of one request at a cache server
+DEADLINE_MS = 1_100.0
+AIM_MS = 800.0
+ANSWER_SLACK_MS = 500.0  # a later answer is a lost request
+ATTEMPT_SLACK_MS = 100.0  # past its client's time an attempt may begin for so long
+ASK_WITHIN_MS = 10_000.0
+MEMORY_MB = 80
+SOCKETS = 1_024
+READY_S = 30.0
+END_S = DEADLINE_MS / 1000.0 + 0.7 + 0.5  # after SIGTERM: when SIGKILL may come, and half a second for the harness
+LIST_S = 0.6  # from the clients' start to the first list
+SEEN_S = 0.25  # between two looks at the node's memory
+MOST_KNOWN = 1_500  # servers for which the oracle keeps a budget of cold work
+CLASSES_OF_THE_RUN = tuple(replace(kind, aim_ms=AIM_MS, deadline_ms=DEADLINE_MS) for kind in CLASSES)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What is played."""
+
+    servers: int
+    core_share: float = 1.0
+    seconds: float = 18.0
+    requests_per_s: float = 30.0
+    replace_every_s: float = 1.5
+    replaced_part: float = 0.02  # of the servers in service, each time
+    drain: bool = True  # the leaving ones are listed as terminating first; otherwise they are gone at once
+    seed: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What came of it."""
+
+    scenario: Scenario
+    violations: list[str]
+    asked: int
+    served: int
+    refused: int
+    failed: int
+    unanswered: int
+    late_attempts: int  # begun over ATTEMPT_SLACK_MS past their clients' time
+    served_by_third: tuple[int, int, int]
+    first_served_s: Optional[float]  # from the first list on
+    ended_s: Optional[float]  # from SIGTERM; None where it had to be killed
+    memory_mb: tuple[float, float]  # resident at the run's half and at its end
+    decisions_failed: int  # by the node's log
+    harness_late_ms: float
+
+    @property
+    def kept(self) -> bool:
+        """Whether no rule was broken and the node ended in its time."""
+        return not (self.violations or self.late_attempts or self.decisions_failed or self.ended_s is None)
+
+
+class ServerRange(Server):
+    """All cache servers behind one listener on the loopback device. Each answers every request after the same time."""
+
+    def __init__(self, oracle: Oracle) -> None:
+        super().__init__(("0.0.0.0", 0), backlog=4_096)
+        self.oracle = oracle
+        self.late_attempts = 0
+        self._names: dict[str, str] = {}  # by host and port, as requests have them
+        self._deadlines_ms: dict[str, float] = {}  # by request id
+
+    def listen(self) -> None:
+        """Begin to accept, from this machine alone."""
+        sock = seam.stream()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, LOOPBACK_DEVICE)
+        seam.bound_buffers(sock, KERNEL_BUFFER)
+        sock.bind(self.address)
+        sock.listen(self._backlog)
+        self.address = (self.address[0], sock.getsockname()[1])
+        self._listener = sock
+        asyncio.get_running_loop().add_reader(sock, self._accept)
+
+    def start(self, cold: bool) -> Entry:
+        """One more cache server; its entry in the list."""
+        number = len(self._names)
+        name = f"s{number}"
+        address: Address = (socket.inet_ntoa((FIRST_ADDRESS + number).to_bytes(4, "big")), self.address[1])
+        self._names[f"{address[0]}:{address[1]}"] = name
+        if cold and len(self.oracle.cold) < MOST_KNOWN:
+            spec = BoxSpec()
+            self.oracle.cold[name] = ColdBox(name, spec.cold_from, spec.cold_ms, float("inf"), now_ms())
+        return started_entry(name, address, cold)
+
+    def expect(self, ask: Ask) -> None:
+        """A client has sent this request."""
+        self._deadlines_ms[ask.txn] = ask.sent_ms + ask.budget_ms
+
+    async def serve(self, connection: Connection, request: Message) -> None:
+        name, txn = self._names[request.header(b"host")], request.header(b"x-txn")
+        told = request.header(b"x-remaining-ms")
+        deadline_ms = self._deadlines_ms.get(txn)
+        if deadline_ms is not None and now_ms() > deadline_ms + ATTEMPT_SLACK_MS + self.oracle.lag.since(deadline_ms):
+            self.late_attempts += 1
+        self.oracle.arrived(name, txn, float(told) if told.isdigit() else None)
+        await asyncio.sleep(SERVICE_S)
+        body = f"for {txn} by {name}".encode()
+        self.oracle.body_made(txn, body)
+        await connection.answer(200, body, {"X-Found": "hit"})
+
+
+class RangeOracle(Oracle):
+    """The soak's oracle, which tells the servers of each request."""
+
+    servers: ServerRange
+
+    def asked(self, ask: Ask) -> None:
+        super().asked(ask)
+        self.servers.expect(ask)
+
+
+class LargeFleet:
+    """One play of a scenario."""
+
+    def __init__(self, scenario: Scenario, folder: Path) -> None:
+        self.scenario = scenario
+        self._folder = folder
+        self._oracle = RangeOracle(grace_ms=250.0)
+        self._servers = self._oracle.servers = ServerRange(self._oracle)
+        self._list = ListOfServers()
+        self._place = Place(NODE, self._list, self._oracle)
+        self._ports = Ports()
+        self._clients = Clients({}, self._oracle, scenario.seed, 2_000, scenario.requests_per_s, classes=CLASSES_OF_THE_RUN)
+        self._clients.slack_ms = ANSWER_SLACK_MS
+        self._shim = Shim(build(folder), folder / "node.shim")
+        self._listen: Address = (HOST, self._ports.take())
+        self._memory: list[float] = []
+        self._served: list[tuple[float, int]] = []  # (s after the first list, served so far)
+        self._listed_ms = 0.0
+        self._log = folder / "node.log"
+
+    async def play(self) -> Result:
+        """Play it."""
+        self._servers.listen()
+        self._place.listen()
+        self._place.down = True
+        for table in (self._oracle.unreachable, self._oracle.hurt, self._oracle.held_up, self._oracle.deaf):
+            table[NODE] = Spans()
+        process = await self._start()
+        measuring = asyncio.create_task(self._oracle.lag.measure())
+        background = [measuring]
+        try:
+            self._clients.nodes[NODE] = self._listen
+            load = asyncio.create_task(self._clients.run(LIST_S + self.scenario.seconds))
+            await asyncio.sleep(LIST_S)
+            self._list.change([self._servers.start(cold=False) for _ in range(self.scenario.servers)])
+            self._place.down = False
+            self._listed_ms = now_ms()
+            background += [asyncio.create_task(self._replace()), asyncio.create_task(self._look(process.pid))]
+            await load
+            for task in background[1:]:
+                task.cancel()
+            ended_s = await self._end(process)
+        finally:
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+            self._clients.close()
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+            self._place.close()
+            self._servers.close()
+            self._ports.close()
+            self._shim.close()
+        for task in background:
+            if not task.cancelled() and (error := task.exception()) is not None:
+                self._oracle.broken(Rule.CRASH, f"the rig itself failed: {error!r}")
+        return self._result(ended_s)
+
+    async def _start(self) -> asyncio.subprocess.Process:
+        config: dict[str, Any] = {
+            "name": NODE,
+            "listen": f"{HOST}:{self._listen[1]}",
+            "discovery": f"{HOST}:{self._place.address[1]}",
+            "seed": "1",
+            "limits": {"cores": self.scenario.core_share, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+            "settings": settings(CLASSES_OF_THE_RUN, ASK_WITHIN_MS),
+        }
+        path = self._folder / "node.json"
+        path.write_text(json.dumps(config))
+        environ = {**os.environ, **self._shim.environment, "PROXY_CONFIG": str(path)}
+        with open(self._log, "wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "corkshift", cwd=ROOT, env=environ, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+                preexec_fn=die_with_parent,
+            )  # fmt: skip
+        async with asyncio.timeout(READY_S):
+            while await fetch(self._listen, "/up") is None:
+                await asyncio.sleep(0.02)
+        self._shim.share_core(self.scenario.core_share)
+        return process
+
+    async def _replace(self) -> None:
+        """Some servers leave and as many start, over and over; those that drained are gone a round later."""
+        leaving: list[Entry] = []
+        serving = list(self._list.entries.values())
+        count = max(1, round(self.scenario.replaced_part * self.scenario.servers))
+        while True:
+            await asyncio.sleep(self.scenario.replace_every_s)
+            gone: list[Entry] = [{**entry, "lifecycle": "terminated"} for entry in leaving]
+            leaving, serving = serving[:count], serving[count:]
+            if not self.scenario.drain:
+                gone, leaving = [{**entry, "lifecycle": "terminated"} for entry in leaving], []
+            started = [self._servers.start(cold=True) for _ in range(count)]
+            serving += started
+            change: list[Entry] = [*gone, *({**entry, "lifecycle": "terminating"} for entry in leaving), *started]
+            self._list.change(change)
+            self._oracle.changed(change)
+            await self._list.announce()
+
+    async def _look(self, pid: int) -> None:
+        while True:
+            status = Path(f"/proc/{pid}/status").read_text()
+            self._memory.append(int(status.partition("VmRSS:")[2].split()[0]) / 1024.0)
+            self._served.append(((now_ms() - self._listed_ms) / 1000.0, self._clients.figures.served))
+            await asyncio.sleep(SEEN_S)
+
+    async def _end(self, process: asyncio.subprocess.Process) -> Optional[float]:
+        begun = now_ms()
+        process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(END_S):
+                await process.wait()
+        except TimeoutError:
+            return None
+        return round((now_ms() - begun) / 1000.0, 2)
+
+    def _result(self, ended_s: Optional[float]) -> Result:
+        self._oracle.finish()
+        figures, log = self._clients.figures, self._log.read_text()
+        if "Traceback" in log:
+            at = log.index("Traceback")
+            self._oracle.broken(Rule.CRASH, log[max(0, at - 200) : at + 600])
+        return Result(
+            scenario=self.scenario,
+            violations=[str(violation) for violation in self._oracle.violations],
+            asked=figures.asked,
+            served=figures.served,
+            refused=figures.refused,
+            failed=figures.failed,
+            unanswered=figures.unanswered,
+            late_attempts=self._servers.late_attempts,
+            served_by_third=self._thirds(figures.served),
+            first_served_s=next((round(at, 2) for at, served in self._served if served), None),
+            ended_s=ended_s,
+            memory_mb=(round(self._memory[len(self._memory) // 2], 1), round(self._memory[-1], 1)),
+            decisions_failed=log.count("a decision failed"),
+            harness_late_ms=round(self._oracle.lag.worst_ms, 1),
+        )
+
+    def _thirds(self, served: int) -> tuple[int, int, int]:
+        third = self.scenario.seconds / 3.0
+        marks = [max((count for at, count in self._served if at <= third * part), default=0) for part in (1, 2)]
+        return marks[0], marks[1] - marks[0], served - marks[1]
+
+
+def run(scenario: Scenario, keep: Optional[Path] = None) -> Result:
+    """Play a scenario in a folder of its own; `keep` names one in which the node's log stays."""
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        return asyncio.run(LargeFleet(scenario, keep).play())
+    with tempfile.TemporaryDirectory(prefix="gradeshift-large-") as folder:
+        return asyncio.run(LargeFleet(scenario, Path(folder)).play())
+
+
+def line_of(result: Result) -> str:
+    """One result in one line."""
+    scenario = result.scenario
+    state = "kept" if result.kept else f"{len(result.violations)} VIOLATIONS"
+    return (
+        f"{scenario.servers} servers, {scenario.core_share:g} of a core: {state}; asked {result.asked}, served {result.served} "
+        f"{result.served_by_third}, refused {result.refused}, failed {result.failed}, unanswered {result.unanswered}, late attempts "
+        f"{result.late_attempts}, first served {result.first_served_s} s, ended {result.ended_s} s, memory {result.memory_mb} MB, "
+        f"decisions failed {result.decisions_failed}, harness late {result.harness_late_ms:g} ms"
+    )
+
+
+def _numbers(text: str) -> list[float]:
+    return [float(part) for part in text.split(",")]
+
+
+@click.command()
+@click.option("--servers", default="200,800,1600,3200", show_default=True, help="Numbers of cache servers.")
+@click.option("--shares", default="1.0,0.3,0.1", show_default=True, help="Shares of a core.")
+@click.option("--seconds", default=18.0, show_default=True, type=click.FloatRange(2.0, 600.0))
+@click.option("--replace-every", default=1.5, show_default=True, help="Seconds between two replacements.")
+@click.option("--replaced-part", default=0.02, show_default=True, help="Of the servers, each time.")
+@click.option("--drain/--no-drain", default=True, show_default=True, help="Whether leaving servers drain first.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "file", type=click.Path(path_type=Path), help="Write all results there.")
+@click.option("--logs", type=click.Path(path_type=Path), help="Keep the nodes' logs in folders there.")
+def main(
+    servers: str, shares: str, seconds: float, replace_every: float, replaced_part: float, drain: bool, seed: int, file: Optional[Path],
+    logs: Optional[Path],
+) -> None:  # fmt: skip
+    """Play each number of servers with each share; exits with 1 where a rule was broken."""
+    results = []
+    for count in map(int, _numbers(servers)):
+        for share in _numbers(shares):
+            scenario = Scenario(
+                count, share, seconds, replace_every_s=replace_every, replaced_part=replaced_part, drain=drain, seed=seed
+            )  # fmt: skip
+            result = run(scenario, logs / f"{count}-{share:g}" if logs else None)
+            results.append(result)
+            click.echo(line_of(result))
+            for violation in result.violations[:6]:
+                click.echo(f"    {violation}")
+    if file is not None:
+        file.write_text(json.dumps([dataclasses.asdict(result) for result in results], indent=1))
+    sys.exit(any(not result.kept for result in results))
+
+
+if __name__ == "__main__":
+    main()
--- a/testbed/soak/oracle.py
+++ b/testbed/soak/oracle.py
@@ -295,6 +295,10 @@
                     arrival.turned_away = True
 
     def made(self, box: CacheBox, txn: str, body: bytes) -> None:
+        self.body_made(txn, body)
+
+    def body_made(self, txn: str, body: bytes) -> None:
+        """A server has made the body of an answer to this request."""
         if txn in self._records:
             self._records[txn].bodies.add(body)
 
--- a/testbed/soak/shim.c
+++ b/testbed/soak/shim.c
@@ -1,4 +1,4 @@
-/* Makes system calls of one process fail or fall short, holds it up before writes, and steps its wall clock.
+/* Makes system calls of one process fail or fall short, holds it up before writes, steps its wall clock, and gives it a share of a core.
  *
  * Loaded by LD_PRELOAD into processes that the tests start, and nowhere else. It is controlled through the file that
  * GRADESHIFT_SHIM names, mapped shared: see `Control` below and testbed/soak/shim.py, which must agree on the layout. */
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -28,6 +29,7 @@
     int32_t stall_ms;   /* held up so long before each send */
     int32_t stall_left; /* so many more times */
     int64_t wall_step_ms;
+    int32_t core_share_permille; /* of one core; 0: all of it */
 } Control;
 
 static Control *control;
@@ -63,6 +65,25 @@
     nanosleep(&span, NULL);
 }
 
+#define LEAST_DEBT_NS 1000000L /* shorter sleeps are put off to the next call */
+
+/* Sleeps for as long as a process with this share of a core would have waited for it since the last call: every call that a loop makes
+ * passes here, so that a long callback holds the process up by its processor time divided by the share. */
+static void pay_for_core(void) {
+    static __thread int64_t paid_ns = -1, debt_ns;
+    int32_t permille = control ? control->core_share_permille : 0;
+    if (permille <= 0 || permille >= 1000) return;
+    struct timespec used;
+    if (clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used)) return;
+    int64_t now_ns = used.tv_sec * 1000000000LL + used.tv_nsec;
+    if (paid_ns >= 0) debt_ns += (now_ns - paid_ns) * (1000 - permille) / permille;
+    paid_ns = now_ns; /* what came before the first call is the start of the program */
+    if (debt_ns < LEAST_DEBT_NS) return;
+    struct timespec span = {debt_ns / 1000000000L, debt_ns % 1000000000L};
+    while (nanosleep(&span, &span) && errno == EINTR) {}
+    debt_ns = 0;
+}
+
 #define REAL(name) \
     static __typeof__(&name) real; \
     if (!real) real = (__typeof__(&name))dlsym(RTLD_NEXT, #name)
@@ -90,14 +111,28 @@
 ssize_t send(int fd, const void *data, size_t size, int flags) {
     REAL(send);
     stall();
+    pay_for_core();
     return fails(SEND) ? -1 : real(fd, data, moved(SEND, size), flags);
 }
 
 ssize_t recv(int fd, void *data, size_t size, int flags) {
     REAL(recv);
+    pay_for_core();
     return fails(RECV) ? -1 : real(fd, data, moved(RECV, size), flags);
 }
 
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout_ms) {
+    REAL(epoll_wait);
+    pay_for_core();
+    return real(fd, events, most, timeout_ms);
+}
+
+int epoll_pwait(int fd, struct epoll_event *events, int most, int timeout_ms, const sigset_t *signals) {
+    REAL(epoll_pwait);
+    pay_for_core();
+    return real(fd, events, most, timeout_ms, signals);
+}
+
 static void step(struct timespec *time) {
     int64_t ms = control ? control->wall_step_ms : 0;
     time->tv_sec += ms / 1000;
--- a/testbed/soak/shim.py
+++ b/testbed/soak/shim.py
@@ -38,6 +38,7 @@
         ("stall_ms", ctypes.c_int32),
         ("stall_left", ctypes.c_int32),
         ("wall_step_ms", ctypes.c_int64),
+        ("core_share_permille", ctypes.c_int32),
     ]
 
 
@@ -94,6 +95,10 @@
         """Let the wall clock be off by so much; the monotonic clock runs on."""
         self._control.wall_step_ms = by_ms
 
+    def share_core(self, share: float) -> None:
+        """From now on the process has this share of a core (above 0, up to 1), its start until the first poll left out."""
+        self._control.core_share_permille = max(1, round(1000.0 * share))
+
     def close(self) -> None:
         """Let the settings go; the process keeps them as they are."""
         del self._control
