Homes of ranges are built in slices beside the ones in force; membership costs by change

Need: the first placement of 3,200 servers held the node up for 2.9 s of processor time (1.5 s of it list.insert), one after a tenth drained for 0.25 s; and ranges were doubled before owners followed, so that every request of the upper half raised IndexError.

Change: forkweir/placement.py (hash ring and owners as one value, made in slices), Fleet keeps who may be home to ranges up to date by the entries of a change, the line's cuts are swapped with the placement. Up to 256 servers a placement is still made in one go. Servers that vanished undrained hold ranges for 30 s, as many as were in service at the most. Points are floats of the same digests.

Tried: 64-bit integers as points (5.5 ms a slice of 64 servers by their merges).

--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from heapq import heappop, heappush
 from typing import Optional
 
@@ -52,6 +52,7 @@
 TRIAL_PART = 0.35  # and what tries a server that was found to be bad after this part
 HEDGE_STEP_MS = 5.0  # between two looks at which are
 NO_FETCH = (0.0, False)  # what is expected of an attempt that was never sent
+REBUILD_TIMER = 5  # token of the timer that goes on with a placement (`adapter.TIER_TIMER` is 4)
 COLD_LOOKS = 8  # servers beyond a range's neighbours that are asked for room where all are cold
 
 
@@ -82,6 +83,8 @@
         "fetches",
         "advice",
         "parts",
+        "_rebuild_planned",
+        "_rebuilding",
     )
 
     def __init__(self, settings: Settings, seed: int) -> None:
@@ -109,6 +112,8 @@
         self.usual = HEDGE_MOST  # the part of their aims in which HEDGE_PART of the attempts are answered
         self.waits: list[tuple[float, int]] = []  # a heap: when each request sent lately will have been out for long
         self.looks = False  # whether a look at them is due
+        self._rebuild_planned = False  # a timer for the next slice of a placement is set
+        self._rebuilding: Optional[Iterator[None]] = None  # a placement that is being made in slices
 
     # -- the server list ---------------------------------------------------------------
 
@@ -123,10 +128,8 @@
         if form in ("failed", "lost"):
             return [self._ask_at(now + self.asking.wait(form == "lost", now))]
         self.fleet.take(now, entries, form in ("saved", "full"))
-        if self.fleet.ranges != self.line.ranges:
-            self.line = Line(self.fleet.ranges)
+        actions = self._plan_rebuild(now)
         if form == "saved":
-            actions: list[Action] = []
             if self.settings.asked:
                 actions.append(self._ask_at(now + self.asking.first()))
             if self.settings.may_probe and self.settings.reports == "on_probe" and not self.probes:
@@ -134,28 +137,77 @@
             return actions
         if form != "hearsay":
             self.asking.heard()
-        return []
+        return actions
 
     def _ask_at(self, due: float) -> Action:
         return ("timer", 1, due)
 
+    # -- homes of ranges -----------------------------------------------------------------
+
+    def _prepare(self, now: float) -> bool:
+        """Whether any range has a home. A small fleet's placement is brought up to date first, if that is due."""
+        fleet = self.fleet
+        if fleet.stale and self._rebuilding is None and not fleet.large and fleet.rebuild_at(now) <= now:
+            for _ in self._rebuild(now):
+                pass
+        return fleet.ready
+
+    def _plan_rebuild(self, now: float) -> list[Action]:
+        """See to it that a large fleet's placement follows its list."""
+        if self._rebuild_planned or not (self.fleet.stale and self.fleet.large):
+            return []
+        self._rebuild_planned = True
+        return [("timer", REBUILD_TIMER, self.fleet.rebuild_at(now))]
+
+    def _rebuild(self, now: float) -> Iterator[None]:
+        """Make the next placement, and the line that goes with it, and put both in force together."""
+        placement = yield from self.fleet.build_placement(now)
+        if placement is None:
+            return
+        line = self.line
+        if placement.ranges != line.ranges:
+            line = yield from Line.build(placement.ranges)
+        self.fleet.placement, self.line = placement, line
+
+    def _rebuild_slice(self, now: float) -> list[Action]:
+        """Go on with the placement of a large fleet, for one slice."""
+        if self._rebuilding is None:
+            self._rebuilding = self._rebuild(now)
+        try:
+            next(self._rebuilding)
+        except StopIteration:
+            self._rebuilding, self._rebuild_planned = None, False
+            return self._plan_rebuild(now)
+        return [("timer", REBUILD_TIMER, now)]
+
+    # -- timers --------------------------------------------------------------------------
+
     def on_timer(self, now: float, token: int) -> list[Action]:
         """A timer came due."""
         if token == 1:
             return [("follow", True)]
         if token == 3:
             return self._look(now)
+        if token == REBUILD_TIMER:
+            return self._rebuild_slice(now)
         if token == 2:
             self.probes += 1
             wait = PROBE_MS * (0.2 if self.probes < FIRST_PROBES else 1.0)
             actions: list[Action] = [("timer", 2, now + wait)]
-            if self.fleet.ready(now):
-                member = self.fleet.ring[self.random.randrange(len(self.fleet.ring))]
+            if self._prepare(now):
+                member = self._any_server()
                 if member.present:
                     actions.append(("probe", member.info.name))
             return actions
         return []
 
+    def _any_server(self) -> Member:
+        """A server that is home to ranges, drawn."""
+        placement = self.fleet.placement
+        if placement is None or not placement.owners:
+            return self.fleet.placed[self.random.randrange(len(self.fleet.placed))]
+        return placement.ring.member(self.random.randrange(len(placement.ring.points)))
+
     # -- requests ----------------------------------------------------------------------
 
     def on_request(
@@ -290,7 +342,7 @@
     def _pick(self, request: Request, now: float) -> Optional[Member]:
         """The home of the request's range, or a neighbour where an exception acts."""
         fleet = self.fleet
-        if not fleet.ready(now):
+        if not self._prepare(now):
             return None
         at = self.line.range_of(request.position)
         near = fleet.neighbours(at)
@@ -377,6 +429,7 @@
         """A server with room for what another turned away; slow hits tell that in truth none has any."""
         if self.gate.slow > USUAL_SLOW:
             return None
+        self._prepare(now)
         return self.fleet.calm(self.line.range_of(request.position), request.servers, now)
 
     def _send(self, request: Request, member: Member, now: float) -> Action:
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -1,10 +1,17 @@
-"""The fleet: membership, homes of ranges, warm-up, and strain; health is a module of its own (`health`)."""
+"""The fleet: membership, warm-up, and strain. Homes of ranges are `placement`'s, health is `health`'s.
+
+A change of the list costs in proportion to the servers that it names, but for copies of the sorted list of servers; what must visit all
+of them is the placement, which is made beside the one in force, in slices.
+
+Bounds: a member for each listed server, and for servers that vanished undrained, as many as were in service at most, for HOLD_MS.
+"""
 
 from __future__ import annotations
 
-from bisect import bisect_left
-from collections.abc import Iterable
+from bisect import bisect_left, insort
+from collections.abc import Generator, Iterable, Iterator
 from dataclasses import replace
+from itertools import chain, islice
 from math import exp
 from typing import Optional
 
@@ -13,20 +20,18 @@
 from forkweir.known.speeds import Pace, Speeds
 from forkweir.known.zones import Zones
 from forkweir.limits.allowance import Account
-from forkweir.line import digest
+from forkweir.placement import NEIGHBOURS, SMALLEST_RANGES, Placement, build, ranges_for
 from forkweir.settings import Server, Settings
 
-RANGES_PER_SERVER = 8  # ranges are at least this many times the servers they are dealt to
-SMALLEST_RANGES = 2048  # constant for every fleet up to 256, so nodes with other lists agree
-DEAL_MS = 1_000.0  # between two dealings of homes; longer in proportion beyond
-DEAL_SERVERS = 800  # servers, as a dealing takes time in proportion to them (some 40 ms at 3,200)
-PLACES = 24  # points of one server on the ring that gives ranges their homes
-ROOM = 1.12  # a server may be home to this times its exact share of ranges
-NEIGHBOURS = 8  # servers known ahead for a range, home included
+REBUILD_MS = 1_000.0  # between two placements; longer in proportion beyond REBUILD_SERVERS,
+REBUILD_SERVERS = 800  # as a placement takes time in proportion to its servers (some 40 ms of a core at 3,200, in slices)
+AT_ONCE_SERVERS = 256  # up to so many, a placement is made in one go when a request needs it (some 10 ms at the first, then 3)
 HOLD_MS = 30_000.0  # a server that vanished undrained keeps its ranges this long
 WASH = 0.05  # of its good answers a server loses by each further strain in a row, for each unit of strain
 EASE = 0.6  # how much one good answer lightens the strain of bad ones
-WARM_MS = 1_000.0  # between two counts of the warm servers
+WARM_MS = 1_000.0  # between two counts of the warm servers,
+RECOUNT_PART = 0.1  # or at once where the list has changed: of a large fleet, by this part of its servers
+FEW = 8  # servers that are put in order one by one; beyond, sorting is cheaper
 STRAIN_MS = 5_000.0  # strain fades by e in this time (docs/cold-and-full.md has what longer costs)
 
 
@@ -61,164 +66,223 @@
     __slots__ = (
         "settings",
         "members",
-        "ranges",
-        "ring",
-        "ring_at",
-        "owners",
-        "near",
+        "placement",
+        "placed",
         "zones",
         "speeds",
-        "placed",
         "stale",
-        "dealt_ms",
-        "dealt",
-        "shares",
+        "rebuilt_ms",
         "origin",
-        "live",
         "weight",
         "warm_weight",
         "warm_due",
         "health",
+        "_present",
+        "_departed",
+        "_most_departed",
     )
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.health = HealthTable(seed)
         self.members: dict[str, Member] = {}
-        self.ranges = SMALLEST_RANGES
-        self.ring: list[Member] = []
-        self.ring_at: list[int] = []
-        self.owners: list[Member] = []
-        self.near: dict[int, tuple[Member, ...]] = {}
         self.zones = Zones(settings.zone)
         self.speeds = Speeds(settings)
-        self.placed: list[Member] = []  # who may be home to ranges
-        self.stale = False
-        self.dealt_ms = 0.0
-        self.dealt: list[Member] = []  # and who was, with these weights, when homes were last dealt
-        self.shares: list[float] = []
+        self.placed: list[Member] = []  # who may be home to ranges, in the order of their names; never changed in place
+        self.placement: Optional[Placement[Member]] = None  # homes of ranges, for those who were in `placed` when it was begun
+        self.stale = False  # the list has changed since
+        self.rebuilt_ms = 0.0  # when that was
         self.origin: Optional[Member] = None
-        self.live = 0
         self.weight = 0.0  # of all that are present,
         self.warm_weight = 0.0  # and of those that are warm and in use, counted at most every WARM_MS
         self.warm_due = 0.0
+        self._present: set[Member] = set()  # of `placed`
+        self._departed: dict[str, Member] = {}  # vanished undrained, longest ago first: they keep their ranges for HOLD_MS
+        self._most_departed = 0
+
+    @property
+    def live(self) -> int:
+        """How many servers that may be home to ranges are in service."""
+        return len(self._present)
+
+    # -- the list ------------------------------------------------------------------------
 
     def take(self, now: float, entries: Iterable[Server], full: bool) -> None:
         """Apply a list or changes to one."""
-        named = set()
+        before = self.live
+        touched: dict[str, Member] = {}
+        named: set[str] = set()
         for info in entries:
             named.add(info.name)
-            member, told = self.members.get(info.name), info.started_ms
-            if told > now:
-                # It has started by the time word of it comes (guards against a node whose clock is behind keeping a server cold
-                # for as long as that). Harm: none, its ramp is held to begin later than it did.
-                again = member is not None and member.told_ms == told
-                info = replace(info, started_ms=member.info.started_ms if member is not None and again else max(now, 1.0))  # 0 is long ago
-            if member is None:
-                if info.state == "gone":
-                    continue
-                member = self.members[info.name] = Member(info)
-                member.told_ms, member.known_ms = told, now
-                continue
-            member.told_ms = told
-            if info.started_ms != member.info.started_ms:
-                member.restarted()
-                member.warm_ms, member.known_ms = info.started_ms, now
-                member.account = None
-            was, drained = member.present, member.draining
-            member.listed(info)
-            if info.state == "gone" and (was or drained):
-                member.gone_ms = now - HOLD_MS if drained else now
+            member = self._listed(info, now)
+            if member is not None:
+                touched[info.name] = member
         if full:
             for name, member in self.members.items():
-                if name not in named and member.present:
-                    member.present = False
-                    member.gone_ms = now
-                elif name not in named and member.draining:
-                    # Gone, and not draining for good (guards against a member kept for each server that ever drained).
-                    member.listed(replace(member.info, state="gone"))
-                    member.gone_ms = now - HOLD_MS
-        for name in [n for n, m in self.members.items() if not m.present and not m.draining and now - m.gone_ms >= HOLD_MS]:
-            del self.members[name]
-        self._place()
-
-    def _place(self) -> None:
-        """Note who may be home to ranges; homes are dealt when a request next needs them."""
-        placed = []
-        self.origin = None
-        for name in sorted(self.members):
-            member = self.members[name]
-            if self.settings.aside and member.info.kind == self.settings.origin_kind:
-                if member.present:
-                    self.origin = member
-            elif not member.draining:
-                placed.append(member)
-        self.live = sum(1 for m in placed if m.present)
-        self.warm_due = 0.0
-        while self.ranges < len(placed) * RANGES_PER_SERVER:
-            self.ranges *= 2
-        self.placed = placed
+                if name not in named and (member.present or member.draining):
+                    self._vanished(member, now)
+                    touched[name] = member
+        self._update_placed(touched)
+        self._forget_departed(now, before)
+        if not self.large or abs(self.live - before) > RECOUNT_PART * before:
+            self.warm_due = 0.0
         self.stale = True
 
-    def ready(self, now: float) -> bool:
-        """Give every range its home, if the list changed: the next server on the hashed ring that has room.
+    def _listed(self, info: Server, now: float) -> Optional[Member]:
+        """Apply one entry; its member, None where the entry says that a server is gone that is not known."""
+        member, told = self.members.get(info.name), info.started_ms
+        if told > now:
+            # It has started by the time word of it comes (guards against a node whose clock is behind keeping a server cold
+            # for as long as that). Harm: none, its ramp is held to begin later than it did.
+            again = member is not None and member.told_ms == told
+            info = replace(info, started_ms=member.info.started_ms if member is not None and again else max(now, 1.0))  # 0 is long ago
+        if member is None:
+            if info.state == "gone":
+                return None
+            member = self.members[info.name] = Member(info)
+            member.told_ms, member.known_ms = told, now
+            return member
+        member.told_ms = told
+        if info.started_ms != member.info.started_ms:
+            member.restarted()
+            member.warm_ms, member.known_ms = info.started_ms, now
+            member.account = None
+        was, drained = member.present, member.draining
+        member.listed(info)
+        if info.state == "gone" and (was or drained):
+            member.gone_ms = now - HOLD_MS if drained else now
+        return member
+
+    def _vanished(self, member: Member, now: float) -> None:
+        """A whole list does not name a server any more."""
+        if member.present:
+            member.present = False
+            member.gone_ms = now
+        else:
+            # Gone, and not draining for good (guards against a member kept for each server that ever drained).
+            member.listed(replace(member.info, state="gone"))
+            member.gone_ms = now - HOLD_MS
+
+    def _is_origin(self, member: Member) -> bool:
+        return self.settings.aside and member.info.kind == self.settings.origin_kind
+
+    def _update_placed(self, touched: dict[str, Member]) -> None:
+        """Bring who may be home to ranges up to date with the members that an entry was about."""
+        entering: list[Member] = []
+        leaving: set[Member] = set()
+        for name, member in touched.items():
+            if not (member.present or member.draining):
+                self._departed.setdefault(name, member)
+            else:
+                self._departed.pop(name, None)
+            if self._is_origin(member):
+                self._move_origin()
+            may_be_home = not (member.draining or self._is_origin(member))
+            if not may_be_home:
+                leaving.add(member)
+            elif not self._is_placed(member):
+                entering.append(member)
+            if may_be_home and member.present:
+                self._present.add(member)
+            else:
+                self._present.discard(member)
+        self._replace_placed(entering, leaving)
+
+    def _move_origin(self) -> None:
+        """The origin that is present, if there is one; of several the one with the last name."""
+        origins = [name for name, member in self.members.items() if member.present and self._is_origin(member)]
+        self.origin = self.members[max(origins)] if origins else None
+
+    def _is_placed(self, member: Member) -> bool:
+        at = bisect_left(self.placed, member.info.name, key=_name_of)
+        return at < len(self.placed) and self.placed[at] is member
+
+    def _replace_placed(self, entering: list[Member], leaving: set[Member]) -> None:
+        """A new list of who may be home to ranges."""
+        leaving = {member for member in leaving if self._is_placed(member)}
+        if not (entering or leaving):
+            return
+        placed = [member for member in self.placed if member not in leaving] if leaving else self.placed.copy()
+        if len(entering) <= FEW:
+            for member in entering:
+                insort(placed, member, key=_name_of)
+        else:
+            placed += entering
+            placed.sort(key=_name_of)
+        self.placed = placed
 
-        Dealt when needed and not too often, on a ring that is kept (guards against a release at a
-        large fleet, in which each of hundreds of changes cost every node a whole new ring). Who
-        has left since gets nothing all the same.
+    def _forget_departed(self, now: float, in_service_before: int) -> None:
+        """Drop who went drained, or HOLD_MS ago, or before as many others as were in service (guards against servers that are replaced
+        over and over, each of which would count towards the number of ranges)."""
+        self._most_departed = max(self._most_departed if len(self._departed) > 1 else 0, in_service_before, self.live)
+        over = [name for name, member in self._departed.items() if now - member.gone_ms >= HOLD_MS]
+        spared = len(self._departed) - len(over)
+        if spared > self._most_departed:
+            held = [name for name, member in self._departed.items() if now - member.gone_ms < HOLD_MS]
+            over += held[: spared - self._most_departed]
+        gone = {self.members.pop(name) for name in over}
+        for name in over:
+            del self._departed[name]
+        self._replace_placed([], gone)
+
+    # -- homes of ranges -----------------------------------------------------------------
+
+    @property
+    def ranges(self) -> int:
+        """How many ranges there are, by the placement in force."""
+        return self.placement.ranges if self.placement is not None else SMALLEST_RANGES
+
+    @property
+    def ready(self) -> bool:
+        """Whether any range has a home."""
+        if self.placement is not None and self.placement.owners:
+            return True
+        return self.large and bool(self.placed)
+
+    @property
+    def large(self) -> bool:
+        """Whether a placement is to be made in slices."""
+        return max(len(self.placed), len(self.placement.members) if self.placement is not None else 0) > AT_ONCE_SERVERS
+
+    def rebuild_at(self, now: float) -> float:
+        """When the next placement is due, if the list has changed: at once where there is none, else not too often.
+
+        Guards against a release at a large fleet, in which each of hundreds of changes cost every node a whole new placement. Who has
+        left since gets nothing all the same.
         """
-        placed = self.placed
-        if not self.stale or (self.dealt and now - self.dealt_ms < DEAL_MS * max(1.0, len(placed) / DEAL_SERVERS)):
-            return bool(self.dealt)
-        self.stale = False
-        self.dealt_ms = now
-        weights = [self.weight_of(m) for m in placed]
-        if placed == self.dealt and weights == self.shares:
-            return bool(placed)
-        there, still = set(self.dealt), set(placed)
-        for member in self.dealt:
-            if member not in still:
-                for point in _ring_points(member.info.name):
-                    at = bisect_left(self.ring_at, point)
-                    del self.ring_at[at], self.ring[at]
-        for member in placed:
-            if member not in there:
-                for point in _ring_points(member.info.name):
-                    at = bisect_left(self.ring_at, point)
-                    self.ring_at.insert(at, point)
-                    self.ring.insert(at, member)
-        self.dealt, self.shares, self.near, self.owners = placed, weights, {}, []
-        share = self.ranges * ROOM / sum(weights, 1e-9)
-        room = {m: int(w * share) + 1 for m, w in zip(placed, weights, strict=True)}
-        ring, size = self.ring, len(self.ring)
-        for r in range(self.ranges if placed else 0):
-            at = bisect_left(self.ring_at, _range_point(r)) % size
-            while not room[ring[at]]:
-                at = (at + 1) % size
-            room[ring[at]] -= 1
-            self.owners.append(ring[at])
-        return bool(placed)
-
-    def neighbours(self, r: int) -> tuple[Member, ...]:
-        """The home of a range and the servers next to it in the shared order."""
-        got = self.near.get(r)
-        if got is None:
-            found = [self.owners[r]]
-            at = bisect_left(self.ring_at, _range_point(r))
-            size = len(self.ring)
-            for step in range(size):
-                member = self.ring[(at + step) % size]
-                if member not in found:
-                    found.append(member)
-                    if len(found) >= NEIGHBOURS:
-                        break
-            got = self.near[r] = tuple(found)
-        return got
-
-    def from_turn(self, r: int) -> list[Member]:
+        if self.placement is None or not self.placement.owners:
+            return now
+        return max(now, self.rebuilt_ms + REBUILD_MS * max(1.0, len(self.placed) / REBUILD_SERVERS))
+
+    def build_placement(self, now: float) -> Generator[None, None, Optional[Placement[Member]]]:
+        """The placement for the list as it is now, made in slices; None where the one in force is it. The caller puts it in force."""
+        self.stale, self.rebuilt_ms = False, now
+        members = self.placed
+        weights = [self.weight_of(member) for member in members]
+        before = self.placement
+        if before is not None and members == before.members and weights == before.weights:
+            return None
+        return (yield from build(before, members, weights, ranges_for(len(members), self.ranges)))
+
+    def neighbours(self, range_number: int) -> tuple[Member, ...]:
+        """The home of a range and the servers next to it in the shared order.
+
+        Until the first placement of a large fleet is whole, servers by their names stand in, alike at all nodes with the same list (guards
+        against a node that refuses all for the time that it takes). Harm: what is fetched meanwhile is kept away from its later home.
+        """
+        if self.placement is not None and self.placement.owners:
+            return self.placement.neighbours(range_number)
+        first = range_number * len(self.placed) // self.ranges
+        return tuple(islice(self._round(first), NEIGHBOURS))
+
+    def from_turn(self, range_number: int) -> Iterator[Member]:
         """All servers that may be home to ranges, another one first for each range."""
-        turn = r % len(self.placed) if self.placed else 0
-        return self.placed[turn:] + self.placed[:turn]
+        return self._round(range_number % len(self.placed) if self.placed else 0)
+
+    def _round(self, first: int) -> Iterator[Member]:
+        """All servers that may be home to ranges, from one on and round."""
+        placed = self.placed
+        return chain(islice(placed, first, None), islice(placed, first))
 
     def kept(self, member: Member, now: float) -> float:
         """The part of its ranges that a server takes now; neighbours get the rest. Of a cold one the allowance takes its part too."""
@@ -241,9 +305,14 @@
         """The weight of all servers that are warm and in use."""
         if now >= self.warm_due:
             self.warm_due = now + WARM_MS
-            there = [m for m in self.placed if m.present]
-            self.weight = sum(self.weight_of(m) for m in there)
-            self.warm_weight = sum(self.weight_of(m) for m in there if m.out_until <= now and not self.is_cold(m, now))
+            weight = warm = 0.0
+            for member in self.placed:
+                if member.present:
+                    part = self.weight_of(member)
+                    weight += part
+                    if member.out_until <= now and not self.is_cold(member, now):
+                        warm += part
+            self.weight, self.warm_weight = weight, warm
         return self.warm_weight
 
     def weight_of(self, member: Member) -> float:
@@ -290,9 +359,9 @@
         trouble of their own), taken for overload of all. An attempt turned away has not run and cost little, so going on to a
         server with room needs no savings. Under overload of all nobody is calm, and this finds none.
         """
-        if not (self.ready(now) and self.placed):
+        if not (self.ready and self.placed):
             return None
-        for member in (*self.neighbours(r), *self.from_turn(r)):
+        for member in chain(self.neighbours(r), self.from_turn(r)):
             if member.calm and self.usable(member, now) and member not in tried and not self.is_cold(member, now):
                 return member
         return None
@@ -316,16 +385,5 @@
         return self.health.silent_for(member, sent_ms, aim_ms, self.placed, self.live, now)
 
 
-def _ring_points(name: str) -> tuple[int, ...]:
-    """The places of a server on the ring."""
-    return tuple(digest(f"{name}/{i}") for i in range(PLACES))
-
-
-def _range_point(r: int) -> int:
-    """The place on the ring from which a range looks for its home."""
-    while r >= len(_RANGE_POINTS):
-        _RANGE_POINTS.append(digest(f"range/{len(_RANGE_POINTS)}"))
-    return _RANGE_POINTS[r]
-
-
-_RANGE_POINTS = [digest(f"range/{r}") for r in range(SMALLEST_RANGES)]  # grows to as many as the largest fleet has had
+def _name_of(member: Member) -> str:
+    return member.info.name
--- a/forkweir/line.py
+++ b/forkweir/line.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right, insort
+from collections.abc import Generator
 from hashlib import blake2b
 from typing import Optional, Protocol
 
@@ -11,6 +12,7 @@
 ALPHA = 0.3  # the weight of new cuts
 HOT_MIN = 8  # sightings before a key may be judged hot
 HOT_MEMORY = 512  # recent arrivals in which hot keys are counted
+SLICE_POINTS = 16_384  # of a new window between two yields: some 1 ms
 
 
 class Shared(Protocol):
@@ -45,17 +47,23 @@
     return cuts
 
 
+def _evenly_spaced(first: int, end: int, size: int) -> list[float]:
+    """The points from one index to another of so many that divide the line evenly."""
+    return [(i + 0.5) / size for i in range(first, end)]
+
+
 class Line:
     """Positions, the window of recent ones, and the cuts."""
 
     __slots__ = ("ranges", "window", "prior", "real", "oldest", "cuts", "since", "counts", "recent", "at", "shared")
 
-    def __init__(self, ranges: int) -> None:
-        size = ranges * WINDOW_PER_RANGE
+    def __init__(self, ranges: int, prior: Optional[list[float]] = None) -> None:
+        """prior: the evenly spaced window, if it has been made already (see `build`)."""
         self.ranges = ranges
         # A node starts with the same evenly spaced window as its peers (guards against a
         # restarted or quiet node cutting from a handful of requests).
-        self.prior = [(i + 0.5) / size for i in range(size)]
+        size = ranges * WINDOW_PER_RANGE
+        self.prior = _evenly_spaced(0, size, size) if prior is None else prior
         self.window = list(self.prior)
         self.real: list[float] = []  # real positions in order of arrival, a ring once full
         self.oldest = 0
@@ -66,6 +74,16 @@
         self.at = 0
         self.shared: Optional[Shared] = None
 
+    @staticmethod
+    def build(ranges: int) -> Generator[None, None, Line]:
+        """A new line, made with a yield between slices of SLICE_POINTS (its window has 8 points for each range)."""
+        size = ranges * WINDOW_PER_RANGE
+        prior: list[float] = []
+        for first in range(0, size, SLICE_POINTS):
+            prior += _evenly_spaced(first, min(size, first + SLICE_POINTS), size)
+            yield
+        return Line(ranges, prior)
+
     def merge(self, shared: Optional[Shared]) -> None:
         """The nodes' common line is this from now on; None: there is none, and this node's own window counts again."""
         self.shared, self.since = shared, 0
--- /dev/null
+++ b/forkweir/placement.py
@@ -0,0 +1,210 @@
+"""Which server is home to which range: a hash ring with bounded loads, built in slices. Pure, no I/O, no clock.
+
+Each server stands at POINTS_PER_SERVER places of the ring; a range goes to the next server from its own place on that has room, and a
+server has room for ROOM times its share by weight (Mirrokni, Thorup, Zadimoghaddam 2018, "Consistent hashing with bounded loads").
+
+Invariant: a `Placement` is whole and never changes. Ring, owners, and the number of ranges belong together; whoever looks up a range takes
+all of them from one placement. `build` makes the next one beside it, and yields between slices of bounded work (SLICE_SERVERS or
+SLICE_RANGES), so that no event of the list holds the node up in proportion to the fleet. Work of a build: POINTS_PER_SERVER hashes for each
+server that is new, one pass over the ring's points where many left, one search for each range.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Collection, Generator, Iterable, Iterator, Sequence
+from hashlib import blake2b
+from struct import unpack
+from typing import Generic, Optional, Protocol, TypeVar
+
+from forkweir.settings import Server
+
+POINTS_PER_SERVER = 24
+ROOM = 1.12  # a server may be home to this times its exact share of ranges
+NEIGHBOURS = 8  # servers known ahead for a range, home included
+SMALLEST_RANGES = 2_048  # constant for every fleet up to 256, so nodes with other lists agree
+RANGES_PER_SERVER = 8  # ranges are at least this many times the servers that they are dealt to
+SLICE_SERVERS = 64  # whose points are hashed and sorted in between two yields: some 2 ms
+SLICE_RANGES = 1_024  # that get their homes between two yields: some 2 ms, the hashes of their places included
+SLICE_POINTS = 8_192  # that are looked through between two yields, where servers left: some 1 ms
+FEW_LEAVING = 4  # servers whose points are deleted one by one; beyond, one pass over all points is cheaper
+
+
+class Placed(Protocol):
+    """What a placement needs of a server."""
+
+    info: Server
+
+
+Member = TypeVar("Member", bound=Placed)
+
+
+def ranges_for(servers: int, at_least: int = SMALLEST_RANGES) -> int:
+    """How many ranges so many servers need: doubled from `at_least` on, so that keys move seldom."""
+    ranges = at_least
+    while ranges < servers * RANGES_PER_SERVER:
+        ranges *= 2
+    return ranges
+
+
+class HashRing(Generic[Member]):
+    """Points in order, and whose each one is. Points are digests of 64 bits as floats, which sort several times as fast as integers."""
+
+    __slots__ = ("points", "_member_at", "_points_of")
+
+    def __init__(self) -> None:
+        self.points: list[float] = []
+        self._member_at: dict[float, Member] = {}
+        self._points_of: dict[Member, tuple[float, ...]] = {}
+
+    def copy(self) -> HashRing[Member]:
+        """A ring that can be changed while this one is in use."""
+        ring: HashRing[Member] = HashRing()
+        ring.points = self.points.copy()
+        ring._member_at = self._member_at.copy()
+        ring._points_of = self._points_of.copy()
+        return ring
+
+    def add(self, members: Collection[Member]) -> None:
+        """Put servers on the ring."""
+        fresh: list[float] = []
+        for member in members:
+            points = self._points_of[member] = _points_of(member)
+            self._member_at.update(dict.fromkeys(points, member))
+            fresh += points
+        fresh.sort()
+        self.points += fresh
+        self.points.sort()  # two runs that are in order: a merge
+
+    def remove(self, members: Sequence[Member]) -> Iterator[None]:
+        """Take servers off the ring, in slices."""
+        leaving = [point for member in members for point in self._points_of.pop(member)]
+        for first in range(0, len(leaving), SLICE_POINTS):
+            for point in leaving[first : first + SLICE_POINTS]:
+                del self._member_at[point]
+            yield
+        if len(members) <= FEW_LEAVING:
+            for point in leaving:
+                del self.points[bisect_left(self.points, point)]
+            return
+        gone = set(leaving)
+        staying: list[float] = []
+        for first in range(0, len(self.points), SLICE_POINTS):
+            staying += [point for point in self.points[first : first + SLICE_POINTS] if point not in gone]
+            yield
+        self.points = staying
+
+    def member(self, index: int) -> Member:
+        """The server at the point with this index, counted round and round."""
+        return self._member_at[self.points[index % len(self.points)]]
+
+    def index_for(self, range_number: int) -> int:
+        """Where on the ring a range begins to look for its home."""
+        return bisect_left(self.points, _point_of_range(range_number))
+
+    def owners_of(self, range_numbers: range, room: dict[Member, int]) -> list[Member]:
+        """The homes of some ranges, each the next server with room, which it takes up."""
+        points, member_at, size = self.points, self._member_at, len(self.points)
+        owners: list[Member] = []
+        for range_point in _points_of_ranges(range_numbers):
+            index = bisect_left(points, range_point) % size
+            owner = member_at[points[index]]
+            while not room[owner]:
+                index = (index + 1) % size
+                owner = member_at[points[index]]
+            room[owner] -= 1
+            owners.append(owner)
+        return owners
+
+
+class Placement(Generic[Member]):
+    """Homes of all ranges, for the servers and weights that were listed when it was begun."""
+
+    __slots__ = ("members", "weights", "ranges", "ring", "owners", "_neighbours")
+
+    def __init__(
+        self, members: Sequence[Member], weights: Sequence[float], ranges: int, ring: HashRing[Member], owners: list[Member]
+    ) -> None:
+        self.members = members
+        self.weights = weights
+        self.ranges = ranges
+        self.ring = ring
+        self.owners = owners
+        self._neighbours: dict[int, tuple[Member, ...]] = {}
+
+    def neighbours(self, range_number: int) -> tuple[Member, ...]:
+        """The home of a range and the servers next to it in the shared order, NEIGHBOURS at most."""
+        known = self._neighbours.get(range_number)
+        if known is None:
+            known = self._neighbours[range_number] = self._find_neighbours(range_number)
+        return known
+
+    def _find_neighbours(self, range_number: int) -> tuple[Member, ...]:
+        found = [self.owners[range_number]]
+        start = self.ring.index_for(range_number)
+        for step in range(len(self.ring.points)):
+            member = self.ring.member(start + step)
+            if member not in found:
+                found.append(member)
+                if len(found) >= NEIGHBOURS:
+                    break
+        return tuple(found)
+
+
+def build(
+    before: Optional[Placement[Member]], members: Sequence[Member], weights: Sequence[float], ranges: int
+) -> Generator[None, None, Placement[Member]]:
+    """The placement of these servers, made from the one before. Yields between slices; the one before stays whole."""
+    there = set(before.members) if before is not None else set()
+    staying = set(members)
+    leaving = [member for member in (before.members if before is not None else ()) if member not in staying]
+    entering = [member for member in members if member not in there]
+    ring: HashRing[Member] = before.ring if before is not None else HashRing()
+    if leaving or entering:
+        ring = ring.copy()
+        yield
+    if leaving:
+        yield from ring.remove(leaving)
+    for first in range(0, len(entering), SLICE_SERVERS):
+        ring.add(entering[first : first + SLICE_SERVERS])
+        yield
+    share = ranges * ROOM / sum(weights, 1e-9)
+    room = {member: int(weight * share) + 1 for member, weight in zip(members, weights, strict=True)}
+    owners: list[Member] = []
+    for first in range(0, ranges if members else 0, SLICE_RANGES):
+        owners += ring.owners_of(range(first, first + SLICE_RANGES), room)
+        yield
+    return Placement(members, weights, ranges, ring, owners)
+
+
+def _points_of(member: Placed) -> tuple[float, ...]:
+    """The places of a server on the ring: digests of its name, a slash and the number of the point."""
+    return _digests(f"{member.info.name}/", _POINT_NUMBERS)
+
+
+def _digests(prefix: str, suffixes: Iterable[bytes]) -> tuple[float, ...]:
+    """Digests of texts that begin alike, each as `line.digest` has it; the common beginning is hashed once."""
+    begun = blake2b(prefix.encode(), digest_size=8)
+    digests = []
+    for suffix in suffixes:
+        hasher = begun.copy()
+        hasher.update(suffix)
+        digests.append(hasher.digest())
+    return tuple(map(float, unpack(f">{len(digests)}Q", b"".join(digests))))
+
+
+def _points_of_ranges(range_numbers: range) -> list[float]:
+    """The places on the ring from which ranges look for their homes."""
+    missing = range(len(_RANGE_POINTS), range_numbers.stop)
+    if missing:
+        _RANGE_POINTS.extend(_digests("range/", (b"%d" % number for number in missing)))
+    return _RANGE_POINTS[range_numbers.start : range_numbers.stop]
+
+
+def _point_of_range(range_number: int) -> float:
+    return _points_of_ranges(range(range_number, range_number + 1))[0]
+
+
+_POINT_NUMBERS = [b"%d" % number for number in range(POINTS_PER_SERVER)]
+_RANGE_POINTS: list[float] = []  # grows to as many as the largest fleet has had
+_points_of_ranges(range(SMALLEST_RANGES))
--- a/forkweir/tier/lines.py
+++ b/forkweir/tier/lines.py
@@ -29,8 +29,8 @@
 from math import log2
 from typing import NamedTuple, Optional
 
-from forkweir.fleet import SMALLEST_RANGES
 from forkweir.line import WINDOW_PER_RANGE, equal_cuts
+from forkweir.placement import SMALLEST_RANGES
 
 BUCKETS = 65_536
 COUNTERS = 1_024
--- a/testbed/nights/defects.py
+++ b/testbed/nights/defects.py
@@ -272,7 +272,7 @@
 def pushes_a_cold_server_over() -> list[Patch]:
     def pick(self: Any, request: Any, now: float) -> Any:
         fleet = self.fleet
-        if not fleet.ready(now):
+        if not self._prepare(now):
             return None
         cold = [m for m in fleet.placed if m.present and fleet.is_cold(m, now)]
         return cold[0] if cold else fleet.neighbours(self.line.range_of(request.position))[0]
--- /dev/null
+++ b/tests/forkweir/test_placement.py
@@ -0,0 +1,228 @@
+"""Homes of ranges: whole at every moment, made in slices of bounded work, whatever the list and the requests do between them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from forkweir import Action, Balancer, ClassSpec, Server, Settings
+from forkweir.choice import REBUILD_TIMER
+from forkweir.fleet import AT_ONCE_SERVERS, HOLD_MS, Member
+from forkweir.line import digest
+from forkweir.placement import POINTS_PER_SERVER, ROOM, HashRing, Placement, build, ranges_for
+
+DEADLINE_MS = 1_000.0
+
+
+def finished(steps: Iterator[None]) -> tuple[Placement[Member], int]:
+    """What a build gives, and in how many slices."""
+    slices = 0
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value, slices
+        slices += 1
+
+
+def members(count: int) -> list[Member]:
+    return [Member(Server(f"s{n:04}")) for n in range(count)]
+
+
+def placed(servers: list[Member], before: Placement[Member] | None = None) -> Placement[Member]:
+    return finished(build(before, servers, [1.0] * len(servers), ranges_for(len(servers))))[0]
+
+
+class Node:
+    """A module with its timers, and a clock of its own."""
+
+    def __init__(self) -> None:
+        self.balancer = Balancer(Settings(classes=(ClassSpec("read"),)), 1)
+        self.now = 1_000.0
+        self.slices = 0
+        self._due: list[float] = []
+        self._requests = 0
+
+    def tell(self, form: str, entries: list[Server]) -> None:
+        self._carry(self.balancer.on_list(self.now, form, entries))
+
+    def ask(self) -> str:
+        """Where a request goes; empty where it is refused."""
+        self._requests += 1
+        actions = self.balancer.on_request(self.now, self._requests, "read", f"k{self._requests}", DEADLINE_MS)
+        self._carry(actions)
+        target = str(actions[0][2]) if actions[0][0] == "attempt" else ""
+        if target:
+            self._carry(self.balancer.on_outcome(self.now, self._requests, 0, True, "success", target, 1.0, 1))
+        return target
+
+    def wait(self, ms: float, most_slices: int = 10_000) -> None:
+        """Let time pass, and slices be made that come due meanwhile."""
+        end = self.now + ms
+        while self._due and self._due[0] <= end and most_slices:
+            self.now = max(self.now, self._due.pop(0))
+            self.slices += 1
+            most_slices -= 1
+            self._carry(self.balancer.on_timer(self.now, REBUILD_TIMER))
+        self.now = end
+
+    def _carry(self, actions: list[Action]) -> None:
+        self._due += [float(action[2]) for action in actions if action[0] == "timer" and action[1] == REBUILD_TIMER]
+        assert len(self._due) <= 1  # one build at a time
+
+
+@pytest.mark.parametrize("count", [1, 3, 50, 256, 257, 700])
+def test_each_range_has_the_next_server_with_room(count: int) -> None:
+    servers = members(count)
+    placement = placed(servers)
+    points = sorted((digest(f"{server.info.name}/{n}"), server) for server in servers for n in range(POINTS_PER_SERVER))
+    room = dict.fromkeys(servers, int(placement.ranges * ROOM / count) + 1)
+    for number in range(placement.ranges):
+        after = digest(f"range/{number}")
+        at = next((n for n, (point, _) in enumerate(points) if point >= after), 0) if number < 40 else None
+        owner = placement.owners[number]
+        if at is not None:
+            while not room[points[at % len(points)][1]]:
+                at += 1
+            assert owner is points[at % len(points)][1]
+        room[owner] -= 1
+    assert min(room.values()) >= 0
+
+
+@given(st.lists(st.tuples(st.integers(0, 120), st.booleans()), max_size=60))
+@settings(max_examples=60, deadline=None)
+def test_a_placement_made_from_another_is_that_of_its_servers(moves: list[tuple[int, bool]]) -> None:
+    everybody = members(121)
+    there = set(everybody[:40])
+    placement = placed([server for server in everybody if server in there])
+    for number, enters in moves:
+        (there.add if enters else there.discard)(everybody[number])
+    wanted = [server for server in everybody if server in there]
+    if wanted:
+        assert placed(wanted, placement).owners == placed(wanted).owners
+
+
+@pytest.mark.parametrize("count", [800, 3_200])
+def test_no_slice_grows_with_the_fleet(count: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Counted are servers put on the ring and ranges that get homes in one slice; times are in benchmarks/list_events.py.
+    hashed: list[int] = []
+    homes: list[int] = []
+    add, owners_of = HashRing.add, HashRing.owners_of
+
+    def counted_add(ring: HashRing[Member], servers: Sequence[Member]) -> None:
+        hashed.append(len(servers))
+        add(ring, servers)
+
+    def counted_owners(ring: HashRing[Member], numbers: range, room: dict[Member, int]) -> list[Member]:
+        homes.append(len(numbers))
+        return owners_of(ring, numbers, room)
+
+    monkeypatch.setattr(HashRing, "add", counted_add)
+    monkeypatch.setattr(HashRing, "owners_of", counted_owners)
+    servers = members(count)
+    placement = placed(servers)
+    assert sum(hashed) == count and max(hashed) <= 64 and sum(homes) == placement.ranges and max(homes) <= 1_024
+    hashed.clear()
+    assert placed(servers, placement).ring is placement.ring and not hashed  # nobody came or went
+    placed([*servers[1:], Member(Server("new"))], placement)
+    assert sum(hashed) == 1
+
+
+def test_a_large_fleet_serves_before_its_homes_are_found() -> None:
+    node = Node()
+    node.tell("full", [Server(f"s{n}") for n in range(2_000)])
+    assert node.balancer.fleet.placement is None and node.ask()
+    node.wait(50.0)
+    placement = node.balancer.fleet.placement
+    assert placement is not None and len(placement.owners) == placement.ranges == node.balancer.line.ranges == 16_384
+    assert node.slices > 2_000 // 64 and node.ask()
+
+
+@pytest.mark.parametrize(("count", "more"), [(250, 10), (256, 1), (500, 40), (1_000, 60), (2_040, 20)])
+def test_a_list_that_grows_just_after_homes_were_found_fails_no_decision(count: int, more: int) -> None:
+    # Issue 49: ranges were doubled at once, and owners followed up to 2.5 s later.
+    node = Node()
+    node.tell("full", [Server(f"s{n}") for n in range(count)])
+    node.ask()
+    node.wait(200.0)
+    node.tell("changes", [Server(f"x{n}") for n in range(more)])
+    for _ in range(200):
+        assert node.ask()
+        node.wait(25.0, most_slices=3)
+    node.wait(5_000.0)
+    assert node.balancer.fleet.ranges == node.balancer.line.ranges == ranges_for(count + more)
+    assert node.balancer.fleet.placement is not None
+    assert any(member.info.name.startswith("x") for member in node.balancer.fleet.placement.owners)
+
+
+@given(
+    st.lists(
+        st.one_of(
+            st.tuples(st.just("in"), st.integers(0, 640), st.integers(1, 300)),
+            st.tuples(st.just("draining"), st.integers(0, 640), st.integers(1, 300)),
+            st.tuples(st.just("gone"), st.integers(0, 640), st.integers(1, 300)),
+            st.tuples(st.just("full"), st.integers(0, 640), st.integers(0, 300)),
+            st.tuples(st.just("ask"), st.integers(1, 8), st.just(0)),
+            st.tuples(st.just("wait"), st.integers(0, 1_500), st.integers(0, 40)),
+        ),
+        max_size=40,
+    )
+)
+@settings(max_examples=80, deadline=None)
+def test_no_order_of_lists_requests_and_times_fails_a_decision(steps: list[tuple[str, int, int]]) -> None:
+    node = Node()
+    listed: dict[str, str] = {}
+    for kind, first, count in steps:
+        if kind == "ask":
+            for _ in range(first):
+                target = node.ask()
+                assert not target or listed.get(target) == "in"
+                assert target or "in" not in listed.values() or not node.balancer.fleet.ready
+        elif kind == "wait":
+            node.wait(float(first), most_slices=count)
+        elif kind == "full":
+            listed = {f"s{n}": "in" for n in range(first, first + count)}
+            node.tell("full", [Server(name) for name in listed])
+        else:
+            names = [f"s{n}" for n in range(first, first + count)]
+            node.tell("changes", [Server(name, state=kind) for name in names])
+            listed |= dict.fromkeys(names, kind)
+        placement = node.balancer.fleet.placement
+        if placement is not None:
+            assert placement.ranges == node.balancer.line.ranges and len(placement.owners) in (0, placement.ranges)
+    assert len(node.balancer.fleet.members) <= 2 * 941 + 300
+
+
+def test_servers_replaced_over_and_over_count_only_as_often_as_were_in_service() -> None:
+    # Guards against ranges and memory that grow with each server that went undrained in the last HOLD_MS.
+    node = Node()
+    servers = [Server(f"s{n}") for n in range(100)]
+    node.tell("full", servers)
+    for step in range(300):
+        gone, servers = servers[:10], [*servers[10:], *(Server(f"r{step}-{n}") for n in range(10))]
+        node.tell("changes", [*(replace(server, state="gone") for server in gone), *servers[-10:]])
+        node.wait(70.0)
+        assert node.ask()
+    assert len(node.balancer.fleet.members) == 200 and node.balancer.fleet.ranges == 2_048
+    node.wait(HOLD_MS)
+    node.tell("changes", [])
+    assert len(node.balancer.fleet.members) == 100
+
+
+def test_a_member_moves_between_the_kinds_of_placement_as_its_fleet_grows_and_shrinks() -> None:
+    node = Node()
+    node.tell("full", [Server(f"s{n}") for n in range(AT_ONCE_SERVERS)])
+    assert node.ask() and node.slices == 0
+    node.wait(2_000.0)
+    node.tell("full", [Server(f"s{n}") for n in range(AT_ONCE_SERVERS + 1)])
+    node.wait(2_000.0)
+    assert node.ask() and node.slices > 0
+    node.tell("full", [Server(f"s{n}", state="in" if n < 10 else "draining") for n in range(AT_ONCE_SERVERS + 1)])
+    node.wait(6_000.0)
+    counts = Counter(node.ask() for _ in range(300))
+    assert set(counts) == {f"s{n}" for n in range(10)}
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -276,10 +276,10 @@
     balancer.on_list(6000.0, "changes", [Server("s9", state="draining")])
     before = homes(balancer, now=6000.0)
     assert "s9" not in before
-    dealt = balancer.fleet.owners
+    dealt = balancer.fleet.placement
     balancer.on_list(6100.0, "changes", [Server("s3", state="draining"), Server("s10")])
     soon = homes(balancer, now=6200.0)
-    assert balancer.fleet.owners is dealt
+    assert dealt is not None and balancer.fleet.placement is dealt
     assert "s3" not in soon and "s10" not in soon
     assert all(a == b for a, b in zip(soon, before, strict=True) if b != "s3")
     later = homes(balancer, now=7100.0)
