Drains count from when they were written; lines behind a long list are heeded at once; early refusals

Need: beside a hold the grace of a drain ran from when it was read, and a change behind a list of thousands of servers waited until that was taken; a node that turns slowly worked on requests that it could only fail; slices of a placement took part in each turn of a request.

Change: what stood unread counts as written when the loop last read everything; a long list is taken by a task beside the reading, and lines behind it are heeded for what they take away; a request with less time than six turns of the loop take is refused (cause behind); work in the background rests for a turn after each slice.

--- a/corkshift/address_book.py
+++ b/corkshift/address_book.py
@@ -13,6 +13,8 @@
 import logging
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
+from itertools import islice
+from math import inf
 from typing import Any, Optional, Protocol
 
 from corkshift.listing import Claim, read
@@ -62,6 +64,7 @@
 
     def __init__(self, node: Listener, pool: Pool) -> None:
         self.generation: Optional[int] = None  # of the last line that was taken whole
+        self.written_ms = inf  # when what is taken now may have been written: the grace of a departure runs from then
         self.read = False  # a whole line has been taken
         self._node = node
         self._pool = pool
@@ -72,6 +75,7 @@
         self._starts = Starts()
         self._overruled: dict[str, Overruled] = {}  # in service by a list that is older than their departure
         self._lapsing: Optional[asyncio.TimerHandle] = None
+        self._to_add: dict[str, Entry] = {}  # of a long list: servers that are still to be added
 
     def restore(self, saved: dict[str, Any]) -> None:
         """Begin with the list as this node last had it. BadList where it is none; the node is told in any case."""
@@ -112,10 +116,11 @@
         self.generation, self.read = generation, True
 
     def _add_in_slices(self, pairs: list[Entry]) -> Iterator[None]:
-        for first in range(0, len(pairs), SLICE_SERVERS):
+        self._to_add = {server.name: (server, address) for server, address in pairs}
+        while self._to_add:
             yield
-            last = first + SLICE_SERVERS >= len(pairs)
-            self._tell("changes" if last else "part", self._change(pairs[first : first + SLICE_SERVERS], {}))
+            part = [self._to_add.pop(name) for name in list(islice(self._to_add, SLICE_SERVERS))]
+            self._tell("part" if self._to_add else "changes", self._change(part, {}))
 
     def _differing(self, listed: list[Entry]) -> Optional[list[Entry]]:
         """The entries of a whole list that may not be as they are known; None where two servers in service share an address.
@@ -161,6 +166,9 @@
             name, state = claim.server.name, claim.server.state
             if self._known.get(name) is claim.server and state == "in":
                 continue  # as it is known
+            if name in self._to_add and state in ("draining", "gone"):
+                server, address = self._to_add[name]
+                self._to_add[name] = replace(server, state="draining"), address  # it is added as one that gets nothing
             if name not in book and claim.address is not None and state in ("draining", "gone"):
                 strangers.append(claim.address)
                 # Who started there later ends whoever is known there: its end is among what is lost (see `_oust`; seed 20000704).
@@ -328,7 +336,7 @@
         if server is None:
             return
         if server.leaving_ms is None:
-            server.leaving_ms = now_ms()
+            server.leaving_ms = min(now_ms(), self.written_ms)
         self._pool.forget(server)
         if gone:
             del self._node.servers[name]
--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -7,12 +7,13 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
 from typing import Any, Optional
 
 import h11
 
-from corkshift.address_book import SLICE_SERVERS, AddressBook, Entry, Listener
-from corkshift.listing import BadList, EntryCache, RawList, claims_of, generation_of, parse_raw, read_entries
+from corkshift.address_book import SLICE_SERVERS, AddressBook, Listener
+from corkshift.listing import BadList, EntryCache, claims_of, generation_of, parse_raw, read_entries
 from corkshift.presence import Presence
 from corkshift.seam import Address, now_ms
 from corkshift.upstream import Pool
@@ -27,6 +28,7 @@
 CALL_S = BESIDE_S * MOST_CALLS  # a call that is not answered by then has failed
 AGENT_S = 0.1  # a call to an agent on the node's own machine, which answers at once while discovery is there
 PAUSE_S = 0.1  # a line that has stopped for so long is taken for a broken one, as far as it takes away
+MOST_WAITING = 1_024  # lines behind one that is being taken in slices
 FADING_MOST = 2  # broken watches that are read until another one tells a whole line,
 FADING_S = 10.0  # and for how long
 
@@ -149,15 +151,22 @@
 
     async def _follow(self, watch: Watch) -> None:
         """Take what a watch tells until it ends; from when something of it is lost on, only what it takes away."""
-        await watch.call()
-        while data := await self._next(watch):
-            for line in watch.lines.receive(data):
-                if watch.fading:
-                    self._heed_text(line)
-                elif line:
-                    await self._line(watch, line)
-            if watch.lines.unfinished and (claims := watch.lines.claims()):
-                self.book.heed(claims, generation_of(watch.lines.rest()))
+        try:
+            await watch.call()
+            while data := await self._next(watch):
+                # What stood unread while the loop was held up counts as notified from when it was written.
+                self.book.written_ms = now_ms() - self.presence.unread_ms()
+                for line in watch.lines.receive(data):
+                    if watch.fading:
+                        self._heed_text(line)
+                    elif line:
+                        self._line(watch, line)
+                if watch.lines.unfinished and (claims := watch.lines.claims()):
+                    self.book.heed(claims, generation_of(watch.lines.rest()))
+        except (OSError, h11.RemoteProtocolError, BadList):
+            await watch.taken()  # what came whole before that counts
+            raise
+        await watch.taken()
 
     async def _next(self, watch: Watch) -> bytes:
         """The next bytes, whatever is lost before them; none at the watch's end. TimeoutError where nothing more will come of it.
@@ -186,18 +195,52 @@
                 self._heed_text(watch.lines.rest())
                 self._lose(watch, f"no chunk: {error}")
 
-    async def _line(self, watch: Watch, line: bytes) -> None:
-        """Take a whole line, and let the loop run in between where it is long."""
+    # -- lines ---------------------------------------------------------------------------
+
+    def _line(self, watch: Watch, line: bytes) -> None:
+        """Take a whole line: a short one now, a long one in slices between which the loop runs and the watch is read on.
+
+        What comes behind a long one waits for it, but what it takes away is heeded at once (guards against a drain that stands behind a
+        list of thousands of servers for as long as that takes).
+        """
+        if watch.taking is not None:
+            self._heed_text(line)
+            watch.waiting.append(line)
+            if len(watch.waiting) > MOST_WAITING:
+                self._lose(watch, "more lines than can be taken")
+            return
+        steps = self._take(watch, line)
+        if next(steps, True) is None:
+            watch.taking = asyncio.create_task(self._finish(watch, steps))
+
+    async def _finish(self, watch: Watch, steps: Iterator[None]) -> None:
+        """Take the rest of a long line, and the lines that waited for it."""
+        try:
+            while not watch.fading:
+                await asyncio.sleep(0.0)
+                if next(steps, True) is None:
+                    continue
+                if not watch.waiting:
+                    return
+                steps = self._take(watch, watch.waiting.popleft())
+        except Exception:
+            log.exception("a list could not be taken")
+            self._lose(watch, "a list that could not be taken")
+        finally:
+            watch.taking = None
+
+    def _take(self, watch: Watch, line: bytes) -> Iterator[None]:
+        """Take a whole line; yields between slices of a long one. A watch that is replaced meanwhile is no reason to go on."""
         try:
             raw = parse_raw(line)
         except BadList as error:
             self._heed_text(line)
             self._lose(watch, f"BadList: {error}")
             return
-        pairs = await self._entries(raw)
-        if watch.fading:
-            self._heed_text(line)  # it was replaced meanwhile
-            return
+        pairs = read_entries(raw.entries[:SLICE_SERVERS], self._cache)
+        for first in range(SLICE_SERVERS, len(raw.entries), SLICE_SERVERS):
+            yield
+            pairs += read_entries(raw.entries[first : first + SLICE_SERVERS], self._cache)
         for old in list(self._fading):
             old.cancel()
         for other in [other for other in self._calls if other is not watch]:
@@ -205,20 +248,9 @@
         all_missed = raw.whole or not watch.carried
         watch.carried = True
         self._owed = False
-        for _ in self.book.take(raw.generation, raw.whole, pairs, all_missed):
-            await asyncio.sleep(0.0)
-            if watch.fading:
-                return
+        yield from self.book.take(raw.generation, raw.whole, pairs, all_missed)
         self._answered.set()
 
-    async def _entries(self, raw: RawList) -> list[Entry]:
-        """The entries of a line, read in slices between which the loop runs."""
-        pairs = read_entries(raw.entries[:SLICE_SERVERS], self._cache)
-        for first in range(SLICE_SERVERS, len(raw.entries), SLICE_SERVERS):
-            await asyncio.sleep(0.0)
-            pairs += read_entries(raw.entries[first : first + SLICE_SERVERS], self._cache)
-        return pairs
-
     def _heed_text(self, text: bytes) -> None:
         """Heed what can be read of a line that is spoilt or cut, or that came on a watch which is being replaced."""
         self.book.heed(claims_of(text, self._cache), generation_of(text))
--- a/corkshift/figures.py
+++ b/corkshift/figures.py
@@ -8,9 +8,9 @@
 from forkweir.advice import CAUSES
 
 OK, SHED, ERRORS = range(3)
-REFUSALS = (*CAUSES, "full", "no-room", "late")
+REFUSALS = (*CAUSES, "full", "no-room", "late", "behind")
 """Why a request was refused: the module's causes (forkweir/advice.py), as many open as the node may hold, no room for
-bodies, out of time before it was read."""
+bodies, out of time before it was read, too little time left for how slowly the loop turns."""
 MOST_CAUSES = 512  # kept between two lines of the log
 CAUSES_TOLD = 8  # of them in one line
 KINDS = ("ok", "shed", "errors")
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -14,6 +14,7 @@
 from corkshift.seam import Address, now_ms
 from corkshift.upstream import Attempt, CacheServer, Outcome, Pool
 from forkweir import Action, Balancer, Server
+from forkweir.choice import REBUILD_TIMER
 from forkweir.send_guard import Denial, SendGuard, SendState
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
 IDS_MOST = 8_192  # far more than come in that time
 TELL_MS = 5_000.0  # between two lines in the log on refusals
 LOOK_MS = 20.0  # a request that is sent on within this has not waited; its client's end is heard in the turn in which it comes
+TURNS = 6  # of the loop that a request takes from when it is read to its answer: dial, write, read, and what waits in between
 BACKSTOP_MS = 15.0  # past the deadline, well within the slack that the rules grant
 
 
@@ -37,6 +39,7 @@
         self.figures = pool.figures
         self.informed = False  # whether a cache server has been known
         self._pool = pool
+        self._presence = pool.presence
         self._max_open = max_open
         self._balancer = Balancer(config.settings, config.seed)
         self.guard = SendGuard(config.drain_grace_ms)
@@ -122,8 +125,11 @@
         call.since_ms, call.deadline_ms = now - waited_ms, now + budget
         self._calls[call.id] = call
         self._tries[call.id] = 0
-        if budget <= 0.0:
-            self.refused("late")  # its client has gone, or is about to
+        if budget <= 0.0 or (call.feed is None and self._presence.turn_ms * TURNS > budget):
+            # Its client has gone, or will have before this node could serve it (guards against a node that can't keep up with what
+            # comes, and works on requests that it can only fail). Harm: where the loop was held up a moment ago, some are refused that
+            # might have been served.
+            self.refused("late" if budget <= 0.0 else "behind")
             self._answer(call, self.busy)
             return
         if call.feed is None:
@@ -216,7 +222,11 @@
         elif action[0] == "cancel":
             self._end_attempt((action[1], action[2]))
         elif action[0] == "timer":
-            asyncio.get_running_loop().call_later(max(0.0, action[2] - now_ms()) / 1000.0, self._due, action[1])
+            wait_ms = max(0.0, action[2] - now_ms())
+            if action[1] == REBUILD_TIMER:
+                # Work in the background takes every other turn (guards against requests that wait for a slice in each of their turns).
+                wait_ms = max(wait_ms, self._presence.turn_ms)
+            asyncio.get_running_loop().call_later(wait_ms / 1000.0, self._due, action[1])
         elif action[0] == "follow":
             self.follow()
         else:
--- a/corkshift/presence.py
+++ b/corkshift/presence.py
@@ -25,8 +25,9 @@
 log = logging.getLogger(__name__)
 
 PERIOD_MS = 50.0
+TURN_STEP = 0.3  # weight of one tick in how late timers come lately
 LATE_MS = 20.0  # a timer that comes this late has been held up; less is the ordinary scatter of a loop
-UNREAD_MS = 150.0  # shorter holds pass for none: as long as a node may be held up between its clock and a write (STANDING.md)
+UNREAD_MS = 2.0 * PERIOD_MS + LATE_MS  # shorter holds can't be told from none by a timer of this period
 LEAST_LEFT_MS = 1.0  # a timer that comes so much early has come in time
 LOG_MS = 5_000.0
 HOLDS_MS = (50.0, 150.0, 500.0, 1_000.0)  # upper bounds of the histogram's buckets; the last bucket has none
@@ -35,12 +36,15 @@
 class Presence:
     """Follows how late the running loop is. Before `start` it always passes for present."""
 
-    __slots__ = ("holds", "longest_ms", "held_until_ms", "_present_ms", "_last_ms", "_read_until_ms", "_timer", "_logged_ms", "_worst_ms")
+    __slots__ = (
+        "holds", "longest_ms", "held_until_ms", "turn_ms", "_present_ms", "_last_ms", "_read_until_ms", "_timer", "_logged_ms", "_worst_ms",
+    )  # fmt: skip
 
     def __init__(self) -> None:
         self.holds = [0] * (len(HOLDS_MS) + 1)  # how often the loop was late, by by how much
         self.longest_ms = 0.0
         self.held_until_ms = 0.0  # when the last hold was noticed
+        self.turn_ms = 0.0  # how late timers come lately, which is about as long as a turn of the loop takes
         self._present_ms = 0.0  # up to the last tick
         self._last_ms: Optional[float] = None  # when that was
         self._read_until_ms = 0.0  # what came before this has been read
@@ -64,6 +68,7 @@
         now = now_ms()
         last = self._last_ms if self._last_ms is not None else now
         late_ms = now - last - PERIOD_MS
+        self.turn_ms += TURN_STEP * (max(0.0, late_ms) - self.turn_ms)
         if late_ms > LATE_MS:
             self._present_ms += PERIOD_MS
             self._note_hold(late_ms, now)
@@ -97,11 +102,13 @@
         return 0.0 if self._last_ms is None else max(0.0, now_ms() - self._last_ms - PERIOD_MS)
 
     def unread_ms(self) -> float:
-        """For how long input that is read now can have stood unread because the loop was held up; 0 where it was not."""
+        """For how long input that is read now can have stood unread because the loop was held up, or turns slowly; 0 where it was not."""
         if self._last_ms is None:
             return 0.0
         unread_ms = now_ms() - self._read_until_ms
-        return unread_ms if unread_ms > UNREAD_MS else 0.0
+        if unread_ms > UNREAD_MS:
+            return unread_ms
+        return self.turn_ms if self.turn_ms > LATE_MS else 0.0
 
     def stale(self, looked_ms: float) -> bool:
         """Whether what was last looked at then may have changed unnoticed: the loop is, or was since, held up."""
--- a/corkshift/watch.py
+++ b/corkshift/watch.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import deque
 from typing import Optional
 
 import h11
@@ -36,6 +38,8 @@
         self.fading = False  # something of it is lost, and another is to take its place: only what takes away is heeded
         self.reminder: Optional[PresentTimer] = None  # of a call that may need another one beside it
         self.lines = Lines(cache)
+        self.taking: Optional[asyncio.Task[None]] = None  # of a long line that is being taken in slices,
+        self.waiting: deque[bytes] = deque()  # and whole lines behind it
         self._presence = presence
         self.stream: Optional[Stream] = None
         self._parser = h11.Connection(h11.CLIENT)
@@ -113,8 +117,15 @@
             self.reminder.cancel()
             self.reminder = None
 
+    async def taken(self) -> None:
+        """Until all lines that came whole have been taken."""
+        if self.taking is not None:
+            await asyncio.wait([self.taking])
+
     def end(self) -> None:
         """Hang up."""
+        if self.taking is not None:
+            self.taking.cancel()
         self.remind_no_more()
         if self.stream is not None:
             self.stream.abort()
--- a/forkweir/fleet.py
+++ b/forkweir/fleet.py
@@ -29,7 +29,7 @@
 HOLD_MS = 30_000.0  # a server that vanished undrained keeps its ranges this long
 WASH = 0.05  # of its good answers a server loses by each further strain in a row, for each unit of strain
 EASE = 0.6  # how much one good answer lightens the strain of bad ones
-WARM_MS = 1_000.0  # between two counts of the warm servers,
+WARM_MS = 1_000.0  # between two counts of the warm servers, longer in proportion beyond REBUILD_SERVERS,
 RECOUNT_PART = 0.1  # or at once where the list has changed: of a large fleet, by this part of its servers
 FEW = 8  # servers that are put in order one by one; beyond, sorting is cheaper
 STRAIN_MS = 5_000.0  # strain fades by e in this time (docs/cold-and-full.md has what longer costs)
@@ -304,7 +304,7 @@
     def warm(self, now: float) -> float:
         """The weight of all servers that are warm and in use."""
         if now >= self.warm_due:
-            self.warm_due = now + WARM_MS
+            self.warm_due = now + WARM_MS * max(1.0, len(self.placed) / REBUILD_SERVERS)
             weight = warm = 0.0
             for member in self.placed:
                 if member.present:
--- a/forkweir/line.py
+++ b/forkweir/line.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from array import array
 from bisect import bisect_left, bisect_right, insort
-from collections.abc import Generator
+from collections.abc import Generator, Sequence
 from hashlib import blake2b
 from typing import Optional, Protocol
 
@@ -33,7 +34,7 @@
     return (digest(key) >> 11) / 9007199254740992.0
 
 
-def equal_cuts(window: list[float], ranges: int) -> list[float]:
+def equal_cuts(window: Sequence[float], ranges: int) -> list[float]:
     """Cuts of a sorted window at equal counts, each the midpoint of two neighbouring points."""
     size = len(window)
     if size >= ranges and not size % ranges:
@@ -47,9 +48,9 @@
     return cuts
 
 
-def _evenly_spaced(first: int, end: int, size: int) -> list[float]:
+def _evenly_spaced(first: int, end: int, size: int) -> array[float]:
     """The points from one index to another of so many that divide the line evenly."""
-    return [(i + 0.5) / size for i in range(first, end)]
+    return array("d", [(i + 0.5) / size for i in range(first, end)])
 
 
 class Line:
@@ -57,15 +58,15 @@
 
     __slots__ = ("ranges", "window", "prior", "real", "oldest", "cuts", "since", "counts", "recent", "at", "shared")
 
-    def __init__(self, ranges: int, prior: Optional[list[float]] = None) -> None:
+    def __init__(self, ranges: int, prior: Optional[array[float]] = None) -> None:
         """prior: the evenly spaced window, if it has been made already (see `build`)."""
         self.ranges = ranges
         # A node starts with the same evenly spaced window as its peers (guards against a
         # restarted or quiet node cutting from a handful of requests).
         size = ranges * WINDOW_PER_RANGE
         self.prior = _evenly_spaced(0, size, size) if prior is None else prior
-        self.window = list(self.prior)
-        self.real: list[float] = []  # real positions in order of arrival, a ring once full
+        self.window = self.prior[:]  # arrays: a third of the memory that lists of floats take
+        self.real = array("d")  # real positions in order of arrival, a ring once full
         self.oldest = 0
         self.cuts = equal_cuts(self.window, ranges)
         self.since = 0
@@ -78,7 +79,7 @@
     def build(ranges: int) -> Generator[None, None, Line]:
         """A new line, made with a yield between slices of SLICE_POINTS (its window has 8 points for each range)."""
         size = ranges * WINDOW_PER_RANGE
-        prior: list[float] = []
+        prior = array("d")
         for first in range(0, size, SLICE_POINTS):
             prior += _evenly_spaced(first, min(size, first + SLICE_POINTS), size)
             yield
--- a/forkweir/placement.py
+++ b/forkweir/placement.py
@@ -27,8 +27,9 @@
 SLICE_SERVERS = 16  # whose points are hashed between two yields,
 MERGED_SERVERS = 128  # and whose points are sorted in together: either takes under 1 ms
 SLICE_RANGES = 256  # that get their homes between two yields: under 1 ms, the hashes of their places included
-SLICE_POINTS = 8_192  # that are looked through between two yields, where servers left: some 1 ms
-FEW_LEAVING = 4  # servers whose points are deleted one by one; beyond, one pass over all points is cheaper
+SLICE_POINTS = 8_192  # that are looked through between two yields, where many came or left: some 1 ms
+SLICE_DELETED = 768  # points that are deleted between two yields: under 1 ms
+FEW_CHANGES = 8  # servers whose points are put in or deleted one by one; beyond, passes over all points are cheaper
 
 
 class Placed(Protocol):
@@ -51,10 +52,11 @@
 class HashRing(Generic[Member]):
     """Points in order, and whose each one is. Points are digests of 64 bits as floats, which sort several times as fast as integers."""
 
-    __slots__ = ("points", "_member_at", "_points_of")
+    __slots__ = ("points", "members", "_member_at", "_points_of")
 
     def __init__(self) -> None:
         self.points: list[float] = []
+        self.members: list[Member] = []  # whose the point with the same index is
         self._member_at: dict[float, Member] = {}
         self._points_of: dict[Member, tuple[float, ...]] = {}
 
@@ -62,47 +64,68 @@
         """A ring that can be changed while this one is in use."""
         ring: HashRing[Member] = HashRing()
         ring.points = self.points.copy()
+        ring.members = self.members.copy()
         ring._member_at = self._member_at.copy()
         ring._points_of = self._points_of.copy()
         return ring
 
-    def add(self, members: Sequence[Member]) -> Iterator[None]:
-        """Put servers on the ring, in slices."""
-        for merged in range(0, len(members), MERGED_SERVERS):
-            entering = members[merged : merged + MERGED_SERVERS]
+    def change(self, leaving: Sequence[Member], entering: Sequence[Member]) -> Iterator[None]:
+        """Take servers off the ring and put others on it, in slices. `members` is whole again at the end."""
+        few = len(leaving) + len(entering) <= FEW_CHANGES
+        yield from self._remove(leaving, few)
+        yield from self._add(entering, few)
+        if few:
+            return
+        members: list[Member] = []
+        for first in range(0, len(self.points), SLICE_POINTS):
+            members += map(self._member_at.__getitem__, self.points[first : first + SLICE_POINTS])
+            yield
+        self.members = members
+
+    def _remove(self, leaving: Sequence[Member], few: bool) -> Iterator[None]:
+        gone = [point for member in leaving for point in self._points_of.pop(member)]
+        for first in range(0, len(gone), SLICE_DELETED):
+            for point in gone[first : first + SLICE_DELETED]:
+                del self._member_at[point]
+                if few:
+                    index = bisect_left(self.points, point)
+                    del self.points[index], self.members[index]
+            yield
+        if few or not gone:
+            return
+        staying: list[float] = []
+        for first in range(0, len(self.points), SLICE_POINTS):
+            staying += [point for point in self.points[first : first + SLICE_POINTS] if point in self._member_at]
+            yield
+        self.points = staying
+
+    def _add(self, entering: Sequence[Member], few: bool) -> Iterator[None]:
+        for merged in range(0, len(entering), MERGED_SERVERS):
+            together = entering[merged : merged + MERGED_SERVERS]
             fresh: list[float] = []
-            for first in range(0, len(entering), SLICE_SERVERS):
-                for member in entering[first : first + SLICE_SERVERS]:
+            for first in range(0, len(together), SLICE_SERVERS):
+                for member in together[first : first + SLICE_SERVERS]:
                     points = self._points_of[member] = _points_of(member)
                     self._member_at.update(dict.fromkeys(points, member))
                     fresh += points
                 yield
+            if few:
+                self._insert(fresh)
+                continue
             fresh.sort()
             self.points += fresh
             self.points.sort()  # two runs that are in order: a merge
             yield
 
-    def remove(self, members: Sequence[Member]) -> Iterator[None]:
-        """Take servers off the ring, in slices."""
-        leaving = [point for member in members for point in self._points_of.pop(member)]
-        for first in range(0, len(leaving), SLICE_POINTS):
-            for point in leaving[first : first + SLICE_POINTS]:
-                del self._member_at[point]
-            yield
-        if len(members) <= FEW_LEAVING:
-            for point in leaving:
-                del self.points[bisect_left(self.points, point)]
-            return
-        gone = set(leaving)
-        staying: list[float] = []
-        for first in range(0, len(self.points), SLICE_POINTS):
-            staying += [point for point in self.points[first : first + SLICE_POINTS] if point not in gone]
-            yield
-        self.points = staying
+    def _insert(self, fresh: list[float]) -> None:
+        for point in fresh:
+            index = bisect_left(self.points, point)
+            self.points.insert(index, point)
+            self.members.insert(index, self._member_at[point])
 
     def member(self, index: int) -> Member:
         """The server at the point with this index, counted round and round."""
-        return self._member_at[self.points[index % len(self.points)]]
+        return self.members[index % len(self.members)]
 
     def index_for(self, range_number: int) -> int:
         """Where on the ring a range begins to look for its home."""
@@ -110,14 +133,14 @@
 
     def owners_of(self, range_numbers: range, room: dict[Member, int]) -> list[Member]:
         """The homes of some ranges, each the next server with room, which it takes up."""
-        points, member_at, size = self.points, self._member_at, len(self.points)
+        points, members, size = self.points, self.members, len(self.points)
         owners: list[Member] = []
         for range_point in _points_of_ranges(range_numbers):
             index = bisect_left(points, range_point) % size
-            owner = member_at[points[index]]
+            owner = members[index]
             while not room[owner]:
                 index = (index + 1) % size
-                owner = member_at[points[index]]
+                owner = members[index]
             room[owner] -= 1
             owners.append(owner)
         return owners
@@ -169,9 +192,7 @@
     if leaving or entering:
         ring = ring.copy()
         yield
-    if leaving:
-        yield from ring.remove(leaving)
-    yield from ring.add(entering)
+        yield from ring.change(leaving, entering)
     share = ranges * ROOM / sum(weights, 1e-9)
     room = {member: int(weight * share) + 1 for member, weight in zip(members, weights, strict=True)}
     owners: list[Member] = []
--- a/testbed/soak/large_fleet.py
+++ b/testbed/soak/large_fleet.py
@@ -81,7 +81,7 @@
     unanswered: int
     late_attempts: int  # begun over ATTEMPT_SLACK_MS past their clients' time
     served_by_third: tuple[int, int, int]
-    first_served_s: Optional[float]  # from the first list on
+    first_served_s: Optional[float]  # from when discovery began to write the first list
     ended_s: Optional[float]  # from SIGTERM; None where it had to be killed
     memory_mb: tuple[float, float]  # resident at the run's half and at its end
     decisions_failed: int  # by the node's log
@@ -142,6 +142,17 @@
         await connection.answer(200, body, {"X-Found": "hit"})
 
 
+class FirstCall(Place):
+    """Discovery that notes when it first answered a call with the list."""
+
+    answered_ms: Optional[float] = None
+
+    async def serve(self, connection: Connection, request: Message) -> None:
+        if self.answered_ms is None and not self.down:
+            self.answered_ms = now_ms()
+        await super().serve(connection, request)
+
+
 class RangeOracle(Oracle):
     """The soak's oracle, which tells the servers of each request."""
 
@@ -161,7 +172,7 @@
         self._oracle = RangeOracle(grace_ms=250.0)
         self._servers = self._oracle.servers = ServerRange(self._oracle)
         self._list = ListOfServers()
-        self._place = Place(NODE, self._list, self._oracle)
+        self._place = FirstCall(NODE, self._list, self._oracle)
         self._ports = Ports()
         self._clients = Clients({}, self._oracle, scenario.seed, 2_000, scenario.requests_per_s, classes=CLASSES_OF_THE_RUN)
         self._clients.slack_ms = ANSWER_SLACK_MS
@@ -285,13 +296,17 @@
             unanswered=figures.unanswered,
             late_attempts=self._servers.late_attempts,
             served_by_third=self._thirds(figures.served),
-            first_served_s=next((round(at, 2) for at, served in self._served if served), None),
+            first_served_s=self._first_served_s(),
             ended_s=ended_s,
             memory_mb=(round(self._memory[len(self._memory) // 2], 1), round(self._memory[-1], 1)),
             decisions_failed=log.count("a decision failed"),
             harness_late_ms=round(self._oracle.lag.worst_ms, 1),
         )
 
+    def _first_served_s(self) -> Optional[float]:
+        asked_s = ((self._place.answered_ms or self._listed_ms) - self._listed_ms) / 1000.0
+        return next((round(at - asked_s, 2) for at, served in self._served if served), None)
+
     def _thirds(self, served: int) -> tuple[int, int, int]:
         third = self.scenario.seconds / 3.0
         marks = [max((count for at, count in self._served if at <= third * part), default=0) for part in (1, 2)]
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -65,7 +65,7 @@
             assert seen["svc.tries"] == len(made.rig.boxes["s1"].heads)
             assert (seen["svc.active"], seen["svc.pool_size"], seen["svc.pool_ejected"]) == (0, 1, 0)
             refused = {name: count for name, count in seen.items() if name.startswith("svc.refused.")}
-            assert len(refused) == 9 and refused["svc.refused.tries"] == sum(refused.values()) == 1
+            assert len(refused) == 10 and refused["svc.refused.tries"] == sum(refused.values()) == 1
 
     play(test)
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,6 +13,7 @@
 from corkshift.figures import Figures
 from corkshift.frontend import Frontend
 from corkshift.node import Node
+from corkshift.presence import Presence
 from corkshift.stream import KERNEL_BUFFER
 from corkshift.upstream import Pool
 from forkweir.adapter import settings_of
@@ -132,11 +133,14 @@
         self.boxes = boxes
         self.registry = registry
         self.figures = Figures(spec.name for spec in config.settings.classes)
-        self.pool = Pool(sockets // 2, config.dial_timeout_ms, config.conn_idle_ms, self.figures)
+        self.presence = Presence()  # always present until a test starts it
+        self.pool = Pool(sockets // 2, config.dial_timeout_ms, config.conn_idle_ms, self.figures, self.presence)
         self.node = Node(config, self.pool, sockets)
-        self.frontend = Frontend(self.node, seam.listen(config.listen, KERNEL_BUFFER), clients, 1 << 20, leave=leave)
-        self.discovery = Discovery(self.node, self.pool, config.discovery)
+        listener = seam.listen(config.listen, KERNEL_BUFFER)
+        self.frontend = Frontend(self.node, listener, clients, 1 << 20, leave=leave, presence=self.presence)
+        self.discovery = Discovery(self.node, self.pool, config.discovery, presence=self.presence)
         self.node.follow = self.discovery.follow
+        self.node.list_unread = self.discovery.unread
 
     @property
     def port(self) -> int:
@@ -147,14 +151,19 @@
         return await send_to(("127.0.0.1", self.port), data)
 
     async def ask(
-        self, txn: str, more: str = "", path: str = "/api/k", lane: str = "read", method: str = "GET", body: bytes = b""
-    ) -> bytes:
+        self, txn: str, more: str = "", path: str = "/api/k", lane: str = "read", method: str = "GET", body: bytes = b"",
+        within_ms: int = 20_000,
+    ) -> bytes:  # fmt: skip
         """One good request on a connection of its own; the whole answer."""
-        return await self.send(request(txn, more + "Connection: close\r\n", path, lane, method) + body)
+        return await self.send(request(txn, more + "Connection: close\r\n", path, lane, method, within_ms) + body)
 
 
-def request(txn: str, more: str = "", path: str = "/api/k", lane: str = "read", method: str = "GET") -> bytes:
-    return f"{method} {path} HTTP/1.1\r\nHost: x\r\nX-Txn: {txn}\r\nX-Lane: {lane}\r\nX-Remaining-Ms: 20000\r\n{more}\r\n".encode()
+def request(
+    txn: str, more: str = "", path: str = "/api/k", lane: str = "read", method: str = "GET", within_ms: int = 20_000
+) -> bytes:  # fmt: skip
+    """within_ms: how long its client waits."""
+    head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nX-Txn: {txn}\r\nX-Lane: {lane}\r\nX-Remaining-Ms: {within_ms}\r\n"
+    return f"{head}{more}\r\n".encode()
 
 
 @asynccontextmanager
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -1,5 +1,7 @@
 """Cuts and blending against figures worked by hand."""
 
+from array import array
+
 from forkweir.line import ALPHA, UPDATE_EVERY, Line, equal_cuts, position_of
 
 
@@ -12,7 +14,7 @@
 def test_update_blends_new_cuts_into_old_ones() -> None:
     line = Line(4)
     old = list(line.cuts)
-    line.window = [0.1 * x for x in line.window]
+    line.window = array("d", [0.1 * x for x in line.window])
     line.update()
     for before, after in zip(old, line.cuts, strict=True):
         assert abs(after - (ALPHA * 0.1 * before + (1 - ALPHA) * before)) < 1e-12
@@ -32,8 +34,8 @@
     size = len(line.window)
     for n in range(5 * size):
         line.arrive(position_of(f"k{n % 97}"), f"k{n % 97}")
-    assert len(line.window) == size and line.window == sorted(line.window)
-    assert not line.prior and sorted(line.real) == line.window
+    assert len(line.window) == size and list(line.window) == sorted(line.window)
+    assert not line.prior and sorted(line.real) == list(line.window)
 
 
 def test_hot_key_is_dealt_over_as_many_servers_as_it_fills() -> None:
