Drawn scenarios of large fleets on shares of a core; timers at rest counted by what holds them

Change: it counts six, two for each call or watch, one for what is held back: less than before for a node with one watch (8, 9 with the presence timer; now 8).

--- a/testbed/nights/rules.py
+++ b/testbed/nights/rules.py
@@ -52,7 +52,8 @@
 LEFT_US = 100_000  # after this a request of a client that has left is not begun, whatever its node could know when
 CROSSED_US = 20_000  # what is on the way while word of an end comes (over a slow link it waits its turn)
 SOURCES_TIMERS = 2 + AT_ONCE  # of further sources: the next round, the next look, and look-ups that are out
-IDLE_TIMERS = 9  # of a node that has nothing to do: its sweeps, its look at what is out, its call to discovery, its presence
+IDLE_TIMERS = 6  # of a node that has nothing to do: two sweeps, its look at what is out, its presence, and up to two calls to come
+CALL_TIMERS = 2  # of each call to discovery, or of the watch that it has become: its patience and the call beside it, a pause and a silence
 
 
 @dataclass(frozen=True, slots=True)
@@ -428,7 +429,10 @@
     def timers_at_rest(self, timers: dict[Owner, int]) -> None:
         """Shortly after the last answer no timer of a request is left. timers: how many each process has."""
         for process in self.services:
+            discovery = self.services[process].discovery
             most = IDLE_TIMERS + (SOURCES_TIMERS if self.services[process].sources is not None else 0)
+            most += CALL_TIMERS * (len(discovery._calls) + len(discovery._fading))
+            most += (discovery.book._lapsing is not None) + bool(discovery.book._overruled)
             most += self.services[process].tier is not None  # its tick
             if process.state == "running" and timers.get(process, 0) > most:
                 self.broken("books", f"{process.name} at rest holds {timers[process]} timers")
--- a/testbed/soak/large_fleet.py
+++ b/testbed/soak/large_fleet.py
@@ -1,6 +1,7 @@
 """One node process with a share of a core beside up to thousands of cache servers, while servers are replaced; the rules are the soak's.
 
     python -m testbed.soak.large_fleet --servers 200,3200 --shares 1.0,0.1 [--seconds 18] [--replace-every 1.5] [--json FILE]
+    python -m testbed.soak.large_fleet --seeds 1-50        # sizes, shares, replacements and faults of discovery drawn from each seed
 
 One listener serves all cache servers: each has an address of its own in 127.64.0.0/10 and all have one port. The node's process gets
 its share from the preloaded library of `shim`. Clients ask before the first list is written. Ends by itself.
@@ -12,11 +13,14 @@
 import dataclasses
 import json
 import os
+import random
 import signal
 import socket
 import sys
 import tempfile
+from contextlib import suppress
 from dataclasses import dataclass, replace
+from enum import StrEnum
 from pathlib import Path
 from typing import Any, Optional
 
@@ -25,6 +29,7 @@
 from corkshift import seam
 from corkshift.seam import Address, now_ms
 from corkshift.stream import KERNEL_BUFFER
+from testbed.soak.__main__ import seeds_of
 from testbed.soak.discovery import Entry, ListOfServers, Place, started_entry
 from testbed.soak.oracle import Oracle, Rule, Spans
 from testbed.soak.shim import Shim, build
@@ -54,6 +59,15 @@
 CLASSES_OF_THE_RUN = tuple(replace(kind, aim_ms=AIM_MS, deadline_ms=DEADLINE_MS) for kind in CLASSES)
 
 
+class WatchFault(StrEnum):
+    """What befalls the node's watch."""
+
+    RESET = "reset"
+    CUT = "cut"  # the next line, in its middle
+    SILENT = "silent"  # for good
+    WHOLE_LIST = "whole-list"  # discovery counts anew: the next call gets the whole list
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """What is played."""
@@ -66,6 +80,8 @@
     replaced_part: float = 0.02  # of the servers in service, each time
     drain: bool = True  # the leaving ones are listed as terminating first; otherwise they are gone at once
     seed: int = 1
+    idle_clients: int = 0  # connections on which nothing is asked
+    faults: tuple[tuple[float, WatchFault], ...] = ()  # of the watch, in s after the first list
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +109,31 @@
         return not (self.violations or self.late_attempts or self.decisions_failed or self.ended_s is None)
 
 
+SIZES = (200, 400, 800, 1_600, 3_200)
+CORE_SHARES = (1.0, 0.5, 0.3, 0.2, 0.1)
+DRAWN_S = 12.0  # of load in a drawn scenario
+LAST_FAULT_S = 8.0
+
+
+def draw(seed: int) -> Scenario:
+    """The scenario of a seed."""
+    rng = random.Random(f"large/{seed}")
+    faults = [(round(rng.uniform(1.0, LAST_FAULT_S), 2), rng.choice(list(WatchFault))) for _ in range(rng.randint(0, 3))]
+    every_s = rng.choice((0.5, 1.5, 3.0))
+    return Scenario(
+        servers=rng.choice(SIZES),
+        core_share=rng.choice(CORE_SHARES),
+        seconds=DRAWN_S,
+        requests_per_s=rng.choice((15.0, 30.0)),
+        replace_every_s=every_s,
+        replaced_part=rng.choice((0.01, 0.02)) * every_s,
+        drain=rng.random() < 0.8,
+        seed=seed,
+        idle_clients=rng.choice((0, 0, 300)),
+        faults=tuple(sorted(faults)),
+    )
+
+
 class ServerRange(Server):
     """All cache servers behind one listener on the loopback device. Each answers every request after the same time."""
 
@@ -146,10 +187,14 @@
     """Discovery that notes when it first answered a call with the list."""
 
     answered_ms: Optional[float] = None
+    forgets = False  # the next call gets the whole list, whatever it asks for
 
     async def serve(self, connection: Connection, request: Message) -> None:
         if self.answered_ms is None and not self.down:
             self.answered_ms = now_ms()
+        if self.forgets and not self.down:
+            self.forgets = False
+            request = replace(request, target=request.target.partition("&after=")[0])
         await super().serve(connection, request)
 
 
@@ -193,6 +238,7 @@
         process = await self._start()
         measuring = asyncio.create_task(self._oracle.lag.measure())
         background = [measuring]
+        crowd = await self._crowd()
         try:
             self._clients.nodes[NODE] = self._listen
             load = asyncio.create_task(self._clients.run(LIST_S + self.scenario.seconds))
@@ -200,7 +246,7 @@
             self._list.change([self._servers.start(cold=False) for _ in range(self.scenario.servers)])
             self._place.down = False
             self._listed_ms = now_ms()
-            background += [asyncio.create_task(self._replace()), asyncio.create_task(self._look(process.pid))]
+            background += [asyncio.create_task(task) for task in (self._replace(), self._look(process.pid), self._spoil())]
             await load
             for task in background[1:]:
                 task.cancel()
@@ -210,6 +256,8 @@
                 task.cancel()
             await asyncio.gather(*background, return_exceptions=True)
             self._clients.close()
+            for sock in crowd:
+                sock.close()
             if process.returncode is None:
                 process.kill()
             await process.wait()
@@ -263,6 +311,30 @@
             self._oracle.changed(change)
             await self._list.announce()
 
+    async def _spoil(self) -> None:
+        """Faults of the watch, each at its time."""
+        for at_s, fault in self.scenario.faults:
+            await asyncio.sleep(max(0.0, at_s - (now_ms() - self._listed_ms) / 1000.0))
+            if fault is WatchFault.SILENT:
+                self._place.silence()
+            elif fault is WatchFault.CUT:
+                self._place.cuts = 1
+            else:
+                if fault is WatchFault.WHOLE_LIST:
+                    self._place.forgets = True
+                self._place.reset()
+
+    async def _crowd(self) -> list[socket.socket]:
+        """Connections on which nothing is asked."""
+        crowd = []
+        for _ in range(self.scenario.idle_clients):
+            sock = socket.socket()
+            sock.setblocking(False)
+            crowd.append(sock)
+            with suppress(OSError):
+                await asyncio.wait_for(asyncio.get_running_loop().sock_connect(sock, self._listen), 1.0)
+        return crowd
+
     async def _look(self, pid: int) -> None:
         while True:
             status = Path(f"/proc/{pid}/status").read_text()
@@ -326,12 +398,16 @@
     """One result in one line."""
     scenario = result.scenario
     state = "kept" if result.kept else f"{len(result.violations)} VIOLATIONS"
-    return (
-        f"{scenario.servers} servers, {scenario.core_share:g} of a core: {state}; asked {result.asked}, served {result.served} "
-        f"{result.served_by_third}, refused {result.refused}, failed {result.failed}, unanswered {result.unanswered}, late attempts "
-        f"{result.late_attempts}, first served {result.first_served_s} s, ended {result.ended_s} s, memory {result.memory_mb} MB, "
-        f"decisions failed {result.decisions_failed}, harness late {result.harness_late_ms:g} ms"
-    )
+    drawn = [f"{scenario.replaced_part:g} replaced every {scenario.replace_every_s:g} s", f"drain {scenario.drain}"]
+    drawn += [f"idle {scenario.idle_clients}", *(f"{fault} at {at_s:g} s" for at_s, fault in scenario.faults)]
+    parts = [
+        f"seed {scenario.seed}: {scenario.servers} servers, {scenario.core_share:g} of a core: {state}; asked {result.asked}",
+        f"served {result.served} {result.served_by_third}, refused {result.refused}, failed {result.failed}",
+        f"unanswered {result.unanswered}, late attempts {result.late_attempts}, first served {result.first_served_s} s",
+        f"ended {result.ended_s} s, memory {result.memory_mb} MB, decisions failed {result.decisions_failed}",
+        f"harness late {result.harness_late_ms:g} ms; {', '.join(drawn)}",
+    ]
+    return ", ".join(parts)
 
 
 def _numbers(text: str) -> list[float]:
@@ -346,24 +422,29 @@
 @click.option("--replaced-part", default=0.02, show_default=True, help="Of the servers, each time.")
 @click.option("--drain/--no-drain", default=True, show_default=True, help="Whether leaving servers drain first.")
 @click.option("--seed", default=1, show_default=True)
+@click.option("--seeds", default="", help="One seed or a span of them: draw the scenarios, whatever else is given.")
 @click.option("--json", "file", type=click.Path(path_type=Path), help="Write all results there.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep the nodes' logs in folders there.")
 def main(
-    servers: str, shares: str, seconds: float, replace_every: float, replaced_part: float, drain: bool, seed: int, file: Optional[Path],
-    logs: Optional[Path],
+    servers: str, shares: str, seconds: float, replace_every: float, replaced_part: float, drain: bool, seed: int, seeds: str,
+    file: Optional[Path], logs: Optional[Path],
 ) -> None:  # fmt: skip
-    """Play each number of servers with each share; exits with 1 where a rule was broken."""
+    """Play each number of servers with each share, or what seeds draw; exits with 1 where a rule was broken."""
+    if seeds:
+        scenarios = [draw(number) for number in seeds_of(seeds)]
+    else:
+        scenarios = [
+            Scenario(count, share, seconds, replace_every_s=replace_every, replaced_part=replaced_part, drain=drain, seed=seed)
+            for count in map(int, _numbers(servers))
+            for share in _numbers(shares)
+        ]
     results = []
-    for count in map(int, _numbers(servers)):
-        for share in _numbers(shares):
-            scenario = Scenario(
-                count, share, seconds, replace_every_s=replace_every, replaced_part=replaced_part, drain=drain, seed=seed
-            )  # fmt: skip
-            result = run(scenario, logs / f"{count}-{share:g}" if logs else None)
-            results.append(result)
-            click.echo(line_of(result))
-            for violation in result.violations[:6]:
-                click.echo(f"    {violation}")
+    for scenario in scenarios:
+        result = run(scenario, logs / f"{scenario.seed}-{scenario.servers}-{scenario.core_share:g}" if logs else None)
+        results.append(result)
+        click.echo(line_of(result))
+        for violation in result.violations[:6]:
+            click.echo(f"    {violation}")
     if file is not None:
         file.write_text(json.dumps([dataclasses.asdict(result) for result in results], indent=1))
     sys.exit(any(not result.kept for result in results))
