Entries that share an address are taken together; figures of the loop's lag; tests of the address book

Need: a list in slices has to come to the same as one taken at once. Found by the new property test: two servers at one address in different slices ousted one another, and a server that lost its new address to another stayed in the book while the decisions had dropped it.

Result: 200 drawn sequences of lists, changes and cut lines, slices of 2 against none: the same view.

--- a/corkshift/address_book.py
+++ b/corkshift/address_book.py
@@ -83,7 +83,7 @@
         try:
             if saved:
                 generation, _, pairs = read(saved)
-                entries = self._change(pairs, {})
+                entries = self._change(pairs)
                 self.generation = generation
         finally:
             self._tell("saved", entries)
@@ -96,8 +96,9 @@
         all_missed: it tells all that was missed since the last line, so that nobody is held back any longer who is not in it.
         """
         vanished = self._vanished(generation, listed) if whole else {}
-        differing = self._differing(listed) if whole and len(listed) > SLICE_SERVERS else None
-        pairs = self._overrule(generation, listed if differing is None else differing)
+        large = whole and len(listed) > SLICE_SERVERS
+        shared = _shared_addresses(listed) if large else set()
+        pairs = self._overrule(generation, self._differing(listed, shared) if large else listed)
         if whole and self._overruled:
             for name in self._overruled.keys() - {server.name for server, _ in listed}:
                 del self._overruled[name]
@@ -105,14 +106,12 @@
         if self._lapsing is not None and not self._hearsay.held:
             self._lapsing.cancel()
             self._lapsing = None
-        if differing is None:
+        if not large:
             self._tell("full" if whole else "changes", [*self._back(free), *self._change(pairs, vanished)])
         else:
-            book = self._node.servers
-            there = [pair for pair in pairs if pair[0].state == "gone" or pair[0].name in book]
-            new = [pair for pair in pairs if not (pair[0].state == "gone" or pair[0].name in book)]
-            self._tell("part" if new else "changes", [*self._back(free), *self._change(there, vanished)])
-            yield from self._add_in_slices(new)
+            now, later = self._split(pairs, shared)
+            self._tell("part" if later else "changes", [*self._back(free), *self._change(now, vanished)])
+            yield from self._add_in_slices(later)
         self.generation, self.read = generation, True
 
     def _add_in_slices(self, pairs: list[Entry]) -> Iterator[None]:
@@ -120,33 +119,45 @@
         while self._to_add:
             yield
             part = [self._to_add.pop(name) for name in list(islice(self._to_add, SLICE_SERVERS))]
-            self._tell("part" if self._to_add else "changes", self._change(part, {}))
+            self._tell("part" if self._to_add else "changes", self._change(part))
 
-    def _differing(self, listed: list[Entry]) -> Optional[list[Entry]]:
-        """The entries of a whole list that may not be as they are known; None where two servers in service share an address.
+    def _differing(self, listed: list[Entry], shared: set[Address]) -> list[Entry]:
+        """The entries of a whole list that may not be as they are known.
 
-        An entry that was read before is the same object (`listing.EntryCache`), so that this costs a look-up for each. Which of two servers
-        at one address counts is told by the order of the whole list.
+        An entry that was read before is the same object (`listing.EntryCache`), so that this costs a look-up for each. Which of several
+        servers at one address counts is told by all of them together.
         """
-        serving = [address for server, address in listed if server.state == "in"]
-        if len(set(serving)) < len(serving):
-            return None
         known, held, departures = self._known, set(self._hearsay.held), self._departures
         return [
             (server, address)
             for server, address in listed
-            if known.get(server.name) is not server or server.state != "in" or server.name in held or server.name in departures
+            if known.get(server.name) is not server
+            or server.state != "in"
+            or address in shared
+            or server.name in held
+            or server.name in departures
         ]
 
+    def _split(self, pairs: list[Entry], shared: set[Address]) -> tuple[list[Entry], list[Entry]]:
+        """The entries that count at once, and the new servers that may be added later: nothing else stands at their addresses."""
+        book, now, later = self._node.servers, list[Entry](), list[Entry]()
+        for pair in pairs:
+            server, address = pair
+            at_once = server.state == "gone" or server.name in book or address in shared
+            (now if at_once else later).append(pair)
+        return now, later
+
     def _vanished(self, generation: int, listed: list[Entry]) -> dict[str, Server]:
         """Servers of the book that a whole list does not name, with what is to be told of them."""
         names = {server.name for server, _ in listed}
-        gone: dict[str, Server] = {}
-        for name in [name for name in self._node.servers if name not in names]:
-            self._departures.note(name, generation, self._known[name].started_ms, now_ms())
-            gone[name] = replace(self._known[name], state="unlisted")
+        gone = self._unlisted(name for name in self._node.servers if name not in names)
+        for name, server in gone.items():
+            self._departures.note(name, generation, server.started_ms, now_ms())
         return gone
 
+    def _unlisted(self, names: Iterable[str]) -> dict[str, Server]:
+        return {name: replace(self._known[name], state="unlisted") for name in names}
+
     def _tell(self, form: str, entries: Iterable[Server]) -> None:
         """Hand entries on, with their starts on this node's clock."""
         first, now = not self.read and form != "hearsay", now_ms()
@@ -265,18 +276,24 @@
         if self._overruled:
             asyncio.get_running_loop().call_later(REINSTATE_S, self._reinstate)
         if pairs:
-            self._tell("hearsay", self._change(pairs, {}))
+            self._tell("hearsay", self._change(pairs))
 
     # -- the book ------------------------------------------------------------------------
 
-    def _change(self, pairs: list[Entry], vanished: dict[str, Server]) -> list[Server]:
-        """Bring the book up to date, and give the entries in the terms of the decisions. vanished: who is no longer listed."""
+    def _change(self, pairs: list[Entry], vanished: Optional[dict[str, Server]] = None) -> list[Server]:
+        """Bring the book up to date, and give the entries in the terms of the decisions.
+
+        vanished: who is no longer listed, where these are of a whole list; None where they are changes alone.
+        """
         book = self._node.servers
         strangers = [address for server, address in pairs if server.state == "gone" and server.name not in book]
         if strangers:
             self._node.overheard(strangers, whole=True)
-        ousted, pairs = self._oust(pairs)
-        for server, address in pairs:
+        ousted, kept = self._oust(pairs)
+        if vanished is not None and len(kept) < len(pairs):
+            names = {server.name for server, _ in kept}
+            vanished |= self._unlisted(server.name for server, _ in pairs if server.name in book and server.name not in names)
+        for server, address in kept:
             known = book.get(server.name)
             if server.state == "gone" or (known is not None and known.address != address):
                 self._leave(server.name, gone=True)
@@ -291,10 +308,10 @@
                 self._leave(server.name, gone=False)
             else:
                 known.leaving_ms = None
-        unlisted = [server for name, server in vanished.items() if name in book]
+        unlisted = [server for name, server in (vanished or {}).items() if name in book]
         for server in unlisted:
             self._leave(server.name, gone=True)
-        return ousted + [server for server, _ in pairs] + unlisted
+        return ousted + [server for server, _ in kept] + unlisted
 
     def _oust(self, pairs: list[Entry]) -> tuple[list[Server], list[Entry]]:
         """Who is gone because another serves at its address now, as the decisions shall hear it, and the entries that count.
@@ -345,3 +362,12 @@
             names.pop(name, None)
             if not names:
                 self._names_at.pop(server.address, None)
+
+
+def _shared_addresses(listed: list[Entry]) -> set[Address]:
+    """The addresses that more than one entry has."""
+    seen: set[Address] = set()
+    shared: set[Address] = set()
+    for _, address in listed:
+        (shared if address in seen else seen).add(address)
+    return shared
--- a/corkshift/admin/status.py
+++ b/corkshift/admin/status.py
@@ -8,6 +8,7 @@
 from corkshift.figures import KINDS, Figures
 from corkshift.frontend import Frontend
 from corkshift.node import Node
+from corkshift.presence import HOLDS_MS
 from corkshift.seam import now_ms
 
 PREFIX = "svc"
@@ -55,4 +56,8 @@
         rows += [f"{PREFIX}.denied.{cause}={count}" for cause, count in guard.denied.items()]
         rows += [f"{PREFIX}.violations.{cause}={count}" for cause, count in guard.violations.items()]
         rows += [f"{PREFIX}.pool.{state}={count}" for state, count in self.node.health().items()]
+        presence = self.frontend.presence
+        bounds = [f"{most:g}" for most in HOLDS_MS] + ["more"]
+        rows += [f"{PREFIX}.loop.late_ms.{bound}={count}" for bound, count in zip(bounds, presence.holds, strict=True)]
+        rows += [f"{PREFIX}.loop.longest_ms={presence.longest_ms:.0f}", f"{PREFIX}.loop.turn_ms={presence.turn_ms:.0f}"]
         return "\n".join(rows) + "\n"
--- /dev/null
+++ b/tests/test_address_book.py
@@ -0,0 +1,171 @@
+"""The address book: a list that is taken in slices, as its differences, comes to the same as one that is taken at once."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Iterable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loopback import CacheBox, entry, play, rig, until
+
+from corkshift import address_book
+from corkshift.address_book import AddressBook
+from corkshift.listing import EntryCache, claims_of, generation_of, parse_raw, read_entries
+from corkshift.seam import Address
+from corkshift.upstream import CacheServer
+from forkweir import Balancer, Server, Settings
+
+NOW_MS = 1_000_000.0
+LIFECYCLES = ("in_service", "terminating", "terminated")
+
+
+class Node:
+    """Whom the book tells, and what it made of it."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, CacheServer] = {}
+        self.balancer = Balancer(Settings(), 1)
+        self.told = 0
+        self.forms: list[str] = []
+
+    def on_list(self, form: str, entries: Iterable[Server]) -> None:
+        listed = list(entries)
+        self.told += len(listed)
+        self.forms.append(form)
+        self.balancer.on_list(1_000.0, form, listed)
+
+    def overheard(self, places: list[Address], whole: bool) -> None:
+        pass
+
+    def view(self) -> dict[str, tuple[object, ...]]:
+        """What is known of each server, by the book and by the decisions."""
+        members = self.balancer.fleet.members
+        listed = {name: (s.address, s.leaving_ms is not None) for name, s in self.servers.items()}
+        here = [(name, member) for name, member in members.items() if member.present or member.draining]
+        kept = {name: (m.present, m.draining, m.info.zone, m.info.weight, m.told_ms) for name, m in here}
+        placed = [member.info.name for member in self.balancer.fleet.placed if member.present]
+        return {"listed": (listed,), "members": (kept,), "placed": (placed, self.balancer.fleet.live)}
+
+
+class Pool:
+    """Connections that the book closes: none."""
+
+    def forget(self, server: CacheServer) -> None:
+        pass
+
+
+def line_of(generation: int, whole: bool, entries: list[dict[str, Any]]) -> bytes:
+    return json.dumps({"generation": generation, "reset": whole, "instances": entries}).encode()
+
+
+def listed(name: int, place: int, lifecycle: str = "in_service", started: int = 0) -> dict[str, Any]:
+    return {"instanceId": f"s{name}", "hostPort": f"127.0.0.{place + 1}:9", "lifecycle": lifecycle, "startedAtMs": started, "zone": "a"}
+
+
+class Taker:
+    """A book with its cache, and a slice size of its own."""
+
+    def __init__(self, slice_servers: int) -> None:
+        self.node = Node()
+        self.book = AddressBook(self.node, Pool())  # type: ignore[arg-type]
+        self.cache = EntryCache()
+        self._slice_servers = slice_servers
+
+    def take(self, line: bytes) -> int:
+        """Take a whole line; in how many slices."""
+        before, address_book.SLICE_SERVERS = address_book.SLICE_SERVERS, self._slice_servers
+        clock = vars(address_book)["now_ms"]
+        vars(address_book)["now_ms"] = lambda: NOW_MS
+        try:
+            raw = parse_raw(line)
+            return sum(1 for _ in self.book.take(raw.generation, raw.whole, read_entries(raw.entries, self.cache), raw.whole))
+        finally:
+            address_book.SLICE_SERVERS = before
+            vars(address_book)["now_ms"] = clock
+
+    def heed(self, text: bytes) -> None:
+        self.book.heed(claims_of(text, self.cache), generation_of(text))
+
+
+entries_of = st.lists(
+    st.tuples(st.integers(0, 11), st.integers(0, 13), st.sampled_from(LIFECYCLES), st.integers(0, 2)), max_size=12, unique_by=lambda e: e[0]
+)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["whole", "whole", "changes", "cut"]), entries_of), max_size=12))
+@settings(max_examples=200, deadline=None)
+def test_slices_and_differences_come_to_the_same_as_a_list_taken_at_once(lines: list[tuple[str, list[tuple[int, int, str, int]]]]) -> None:
+    async def test() -> None:
+        at_once, sliced = Taker(1_000), Taker(2)
+        for generation, (kind, drawn) in enumerate(lines, 1):
+            line = line_of(generation, kind == "whole", [listed(name, place, state, started) for name, place, state, started in drawn])
+            for taker in (at_once, sliced):
+                if kind == "cut":
+                    taker.heed(line[: len(line) * 2 // 3])
+                else:
+                    taker.take(line)
+            assert sliced.node.view() == at_once.node.view()
+            assert sliced.book._hearsay.held == at_once.book._hearsay.held
+
+    play(test)
+
+
+def test_a_whole_list_that_has_not_changed_tells_nothing() -> None:
+    taker = Taker(100)
+    entries = [listed(n, n % 200, started=n) | {"hostPort": f"127.1.{n >> 8}.{n & 255}:9"} for n in range(1_000)]
+    assert taker.take(line_of(1, True, entries)) == 10
+    assert taker.node.told == 1_000 and taker.node.forms == ["part"] * 10 + ["changes"]
+    taker.node.told = 0
+    assert taker.take(line_of(2, True, list(reversed(entries)))) == 0
+    assert taker.node.told == 0
+    assert taker.take(line_of(3, True, [{**entries[5], "lifecycle": "terminating"}, *entries[6:]])) == 0
+    assert taker.node.told == 6 and taker.node.balancer.fleet.live == 994  # one drains, and five are not named any more
+
+
+def test_who_takes_part_in_slices_and_drains_meanwhile_is_added_as_draining(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(address_book, "SLICE_SERVERS", 2)
+    taker = Taker(2)
+    raw = parse_raw(line_of(1, True, [listed(n, n) for n in range(9)]))
+    steps = taker.book.take(raw.generation, True, read_entries(raw.entries, taker.cache), True)
+    next(steps)
+    assert len(taker.node.servers) == 0
+    taker.heed(line_of(2, False, [listed(7, 7, "terminating"), listed(8, 8, "terminated")]))
+    for _ in steps:
+        pass
+    leaving = {name for name, server in taker.node.servers.items() if server.leaving_ms is not None}
+    assert leaving == {"s7", "s8"} and taker.node.balancer.fleet.live == 7
+
+
+@pytest.mark.parametrize("count", [600, 3_000])
+def test_a_drain_behind_a_long_list_is_heeded_before_the_list_is_taken(count: int) -> None:
+    # Guards against a change that waits for as long as thousands of servers take.
+    async def test() -> None:
+        boxes = {f"s{n}": CacheBox() for n in range(2)}
+        async with rig(boxes) as made:
+            box = boxes["s0"]
+            entries = [*(entry(name, known.port) for name, known in boxes.items()), *(entry(f"x{n}", 1 + n) for n in range(count))]
+            whole = line_of(2, True, entries) + b"\n"
+            drain = line_of(3, False, [entry("s0", box.port, "terminating")]) + b"\n"
+            seen: list[int] = []
+            on_list = made.node.on_list
+
+            def watched(form: str, told: Iterable[Server]) -> None:
+                on_list(form, told)
+                if made.node.servers["s0"].leaving_ms is not None:
+                    seen.append(len(made.node.servers))
+
+            made.node.on_list = watched  # type: ignore[method-assign, assignment]
+            for connection in made.registry.watches:
+                data = whole + drain
+                await connection.stream.write(b"%x\r\n%b\r\n" % (len(data), data))
+            await until(lambda: len(made.node.servers) == count + 2)
+            await until(lambda: made.discovery.book.generation == 3)
+            assert seen[0] < count + 2  # it was out before the last server was added
+            await asyncio.sleep(0)
+            assert not made.node._balancer.fleet.members["s0"].present
+
+    play(test)
