--- /dev/null
+++ b/testbed/soak/nodes.py
@@ -0,0 +1,215 @@
+"""The node processes of a soak: their configuration, start and end, and the faults that are done to a process."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import signal
+import sys
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Optional
+
+from corkshift.seam import Address, now_ms
+from testbed.soak.discovery import Discovery
+from testbed.soak.oracle import Oracle, Rule
+from testbed.soak.plan import RELOADS_APART_S
+from testbed.soak.shim import ACCEPT_ERRORS, SHORTAGES, Shim, SystemCall
+from testbed.systems.serving import fetch
+from testbed.tier.processes import die_with_parent
+
+ROOT = Path(__file__).parents[2]
+READY_S = 30.0
+END_S = 4.3  # after SIGTERM
+FRONT_S = 0.8  # until clients know that a node has died,
+NEW_S = 0.35  # and for how long after SIGTERM they make new connections to it
+LOCAL_FAULT_MS = 400.0  # of accept: what waits in the queue has its time counted from its last byte
+SHORT_MS = 50.0  # of reads and writes
+CONNECT_ERRORS = (*SHORTAGES, errno.EHOSTUNREACH, errno.ETIMEDOUT)
+SOCKET_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+BUFFER_ERRORS = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
+CALL_ERRORS: dict[SystemCall, tuple[int, ...]] = {
+    SystemCall.ACCEPT: ACCEPT_ERRORS,
+    SystemCall.CONNECT: CONNECT_ERRORS,
+    SystemCall.SOCKET: SOCKET_ERRORS,
+    SystemCall.SEND: BUFFER_ERRORS,
+    SystemCall.RECV: BUFFER_ERRORS,
+}
+
+
+@dataclass(slots=True)
+class Node:
+    """One node: its configuration, its process, and what is done to it."""
+
+    name: str
+    listen: Address
+    folder: Path
+    shim: Shim
+    config: dict[str, Any]
+    discovery: Discovery
+    oracle: Oracle
+    place: int = 0  # of discovery that its configuration names
+    process: Optional[asyncio.subprocess.Process] = None
+    down_from_s: float = 0.0  # clients send it nothing from then on
+    busy: bool = False  # it is being ended or started
+    exits: list[int] = field(default_factory=list)
+
+    @property
+    def down(self) -> bool:
+        """Whether clients know that it is gone."""
+        return 0.0 < self.down_from_s <= time.monotonic()
+
+    @property
+    def log(self) -> str:
+        """All that it has logged."""
+        return (self.folder / f"{self.name}.log").read_text()
+
+    # -- its life ------------------------------------------------------------------------
+
+    def configure(self) -> None:
+        """Write its file: discovery's place, and the list as it is now."""
+        host, port = self.discovery.places[self.name][self.place].address
+        self.config["discovery"] = f"{host}:{port}"
+        servers = self.discovery.servers
+        self.config["known"] = {"generation": servers.number, "reset": True, "instances": list(servers.entries.values())}
+        self._path.write_text(json.dumps(self.config))
+
+    @property
+    def _path(self) -> Path:
+        return self.folder / f"{self.name}.json"
+
+    async def start(self) -> None:
+        """Start a process by a fresh file."""
+        self.configure()
+        environ = {**os.environ, **self.shim.environment, "PROXY_CONFIG": str(self._path), "TMPDIR": str(self.folder)}
+        with open(self.folder / f"{self.name}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "corkshift", cwd=ROOT, env=environ, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+                preexec_fn=die_with_parent,
+            )  # fmt: skip
+        self.oracle.started_ms[self.name] = now_ms()
+
+    async def ready(self) -> None:
+        """Until it answers; RuntimeError where it has ended, TimeoutError after READY_S."""
+        async with asyncio.timeout(READY_S):
+            while await fetch(self.listen, "/up") is None:
+                if self.process is None or self.process.returncode is not None:
+                    raise RuntimeError(f"{self.name} does not start: {self.log[-800:]}")
+                await asyncio.sleep(0.05)
+
+    async def come_back(self) -> None:
+        """Start it again, and let clients know."""
+        await self.start()
+        await self.ready()
+        self.down_from_s = 0.0
+
+    async def bury(self) -> None:
+        """End it for good."""
+        if self.process is not None:
+            if self.process.returncode is None:
+                with suppress(ProcessLookupError):
+                    self.process.kill()
+            elif not self.busy:
+                self.exits.append(self.process.returncode)
+            await self.process.wait()
+        self.shim.close()
+
+    # -- faults --------------------------------------------------------------------------
+
+    async def kill(self) -> None:
+        """SIGKILL, and a new process a moment later."""
+        if self.busy or self.process is None:
+            return
+        self.busy = True
+        try:
+            self.oracle.hurt[self.name].begin()
+            self.process.kill()
+            self.down_from_s = time.monotonic() + FRONT_S
+            self.exits.append(await self.process.wait())
+            await asyncio.sleep(0.3)
+            await self.come_back()
+            self.oracle.hurt[self.name].end()
+        finally:
+            self.busy = False
+
+    async def restart(self) -> None:
+        """SIGTERM, and a new process once it has ended."""
+        if self.busy or self.process is None:
+            return
+        self.busy = True
+        try:
+            self.process.send_signal(signal.SIGTERM)
+            self.down_from_s = time.monotonic() + NEW_S
+            try:
+                async with asyncio.timeout(END_S):
+                    self.exits.append(await self.process.wait())
+            except TimeoutError:
+                self.oracle.broken(Rule.CRASH, f"{self.name} has not ended {END_S} s after SIGTERM")
+                self.process.kill()
+                await self.process.wait()
+            await self.come_back()
+        finally:
+            self.busy = False
+
+    async def reload(self, times: int) -> None:
+        """So many SIGHUPs in a row, each moving discovery to its other place."""
+        for n in range(times):
+            if self.busy or self.process is None:
+                return
+            self.place = 1 - self.place
+            self.configure()
+            with suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGHUP)
+            if n < len(RELOADS_APART_S):
+                await asyncio.sleep(RELOADS_APART_S[n])
+
+    async def pause(self, for_ms: float) -> None:
+        """Stop the process for so long."""
+        if self.busy or self.process is None:
+            return
+        process, held_up = self.process, self.oracle.held_up[self.name]
+        held_up.begin()
+        with suppress(ProcessLookupError):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(for_ms / 1000.0)
+            process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.05)
+        held_up.end()
+
+    def stall(self, times: int) -> None:
+        """Hold it up for 0.15 s before each of its next writes."""
+        span_ms = 150.0 * times + 1_000.0
+        self.oracle.held_up[self.name].add(now_ms(), now_ms() + span_ms)
+        if times > 1:  # several stalls in a row are more than the rules allow for
+            self.oracle.deaf[self.name].add(now_ms(), now_ms() + span_ms)
+            self.oracle.hurt[self.name].add(now_ms() - 1.0, now_ms() + span_ms)
+        self.shim.stall_writes(150, times)
+
+    async def fail_calls(self, draw: int, for_s: float) -> str:
+        """One of its system calls fails for a while; which one, how and for how long."""
+        call = SystemCall(draw % len(SystemCall))
+        error = CALL_ERRORS[call][draw % len(CALL_ERRORS[call])]
+        most_ms = {SystemCall.ACCEPT: LOCAL_FAULT_MS, SystemCall.SEND: SHORT_MS, SystemCall.RECV: SHORT_MS}.get(call, 10_000.0)
+        for_s = min(for_s, most_ms / 1000.0)
+        blocks = call in (SystemCall.CONNECT, SystemCall.SOCKET)
+        if blocks:
+            self.oracle.reachable(self.name, False)
+        self.shim.fail(call, error)
+        await asyncio.sleep(for_s)
+        self.shim.heal(call)
+        if blocks:
+            self.oracle.reachable(self.name, True)
+        return f"{self.name}: {call.name.lower()} fails with {errno.errorcode[error]} for {for_s} s"
+
+    async def short_io(self, for_s: float) -> None:
+        """Its reads and writes move single bytes for a while."""
+        self.oracle.deaf[self.name].begin()
+        self.shim.move_single_bytes(True)
+        await asyncio.sleep(for_s)
+        self.shim.move_single_bytes(False)
+        await asyncio.sleep(0.3)
+        self.oracle.deaf[self.name].end()
--- /dev/null
+++ b/testbed/soak/world.py
@@ -0,0 +1,122 @@
+"""The world of one soak: node processes, cache servers, origin, discovery and clients, with the oracle that hears of all."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+from typing import Any
+
+from corkshift.seam import now_ms
+from testbed.soak.discovery import Discovery, Entry, started_entry
+from testbed.soak.nodes import READY_S, Node
+from testbed.soak.oracle import Oracle, Rule, Spans
+from testbed.soak.plan import Plan
+from testbed.soak.servers import SoakServer
+from testbed.soak.shim import Shim, build
+from testbed.systems.clients import CLASSES, Clients, settings
+from testbed.systems.standins import BoxSpec, OrderBook
+from testbed.tier.books import ColdBox
+from testbed.tier.processes import HOST, Ports
+
+ASK_WITHIN_MS = 10_000.0
+ANSWER_SLACK_MS = 500.0  # a later answer is a lost request
+MEMORY_MB = 64
+SOCKETS = 512
+KEYS = 400
+SIGNS_OF_A_DEFECT = ("Traceback", "too late", "had no answer by its deadline")  # in a node's log
+
+
+class World:
+    """Everything that a plan needs. All addresses are on 127.0.0.1."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.oracle = Oracle(grace_ms=250.0)
+        self.servers: list[SoakServer] = []
+        self.nodes: list[Node] = []
+        self.discovery = Discovery([f"n{n}" for n in range(plan.nodes)], self.oracle)
+        self.clients = Clients({}, self.oracle, plan.seed, KEYS, plan.requests_per_s)
+        self._random = random.Random(f"rig/{plan.seed}")
+        self._ports = Ports()
+        self._origin = OrderBook((HOST, 0), 8, 15.0)
+        self._library = build(folder)
+
+    async def open(self) -> None:
+        """Start all of it, and wait until every node answers."""
+        self._origin.listen()
+        self.discovery.listen()
+        await self.discovery.change([self.start_server(cold=False) for _ in range(self.plan.servers)])
+        for n in range(self.plan.nodes):
+            self.nodes.append(self._make_node(n))
+        await asyncio.gather(*(node.start() for node in self.nodes))
+        await asyncio.gather(*(node.ready() for node in self.nodes))
+        self.clients.nodes.update({node.name: node.listen for node in self.nodes})
+        self.clients.down = lambda name: self.nodes[int(name[1:])].down
+        self.clients.slack_ms = ANSWER_SLACK_MS
+
+    async def settle(self) -> None:
+        """Wait for nodes that are being started, so that their exit codes are known."""
+        async with asyncio.timeout(READY_S):
+            while any(node.busy for node in self.nodes):
+                await asyncio.sleep(0.05)
+
+    async def close(self) -> None:
+        """End all of it."""
+        self.clients.close()
+        for node in self.nodes:
+            await node.bury()
+        self.discovery.close()
+        for server in (*self.servers, self._origin):
+            server.close()
+        self._ports.close()
+
+    def start_server(self, cold: bool) -> Entry:
+        """A new server, under a new name; its entry."""
+        name = f"s{len(self.servers)}"
+        spec = BoxSpec(cores=2, kept=400)
+        server = SoakServer(name, self._origin.address, spec, self.oracle, self.oracle, cold, self.plan.seed)
+        server.unframed_share = self.plan.unframed_share
+        if not cold:
+            server.warm(self.clients.keys())
+        server.listen()
+        self._origin.voids.append(server.void)
+        self.servers.append(server)
+        if cold:
+            self.oracle.cold[name] = ColdBox(name, spec.cold_from, spec.cold_ms, server.full_speed, now_ms())
+        return started_entry(name, server.address, cold)
+
+    def serving(self) -> list[SoakServer]:
+        """The servers that are listed in service."""
+        listed = self.discovery.servers.entries
+        return [server for server in self.servers if listed.get(server.name, {}).get("lifecycle") == "in_service"]
+
+    def _make_node(self, n: int) -> Node:
+        name = f"n{n}"
+        listen, admin = self._ports.take(), self._ports.take()
+        for table in (self.oracle.unreachable, self.oracle.hurt, self.oracle.held_up, self.oracle.deaf):
+            table[name] = Spans()
+        config: dict[str, Any] = {
+            "name": name,
+            "listen": f"{HOST}:{listen}",
+            "admin_addr": f"{HOST}:{admin}",
+            "seed": f"{self._random.getrandbits(48):x}",
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+            "settings": settings(CLASSES, ASK_WITHIN_MS),
+        }
+        shim = Shim(self._library, self.folder / f"{name}.shim")
+        return Node(name, (HOST, listen), self.folder, shim, config, self.discovery, self.oracle)
+
+    def read_logs(self) -> None:
+        """What nodes say of themselves: exceptions, violations of the send guard, ends."""
+        for node in self.nodes:
+            text = node.log
+            for sign in SIGNS_OF_A_DEFECT:
+                if sign in text:
+                    at = text.index(sign)
+                    self.oracle.broken(Rule.CRASH, f"{node.name} logs: {text[max(0, at - 200) : at + 400]}")
+            for code in node.exits:
+                if code not in (0, -signal.SIGKILL):
+                    self.oracle.broken(Rule.CRASH, f"{node.name} ended with {code}")
