--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -8,7 +8,7 @@
 import time
 
 import pytest
-from loopback import CacheBox, Rig, entry, good, play, request, rig, status
+from loopback import CacheBox, Rig, entry, good, play, request, rig, status, until
 
 from corkshift import presence
 from corkshift.presence import LATE_MS, PERIOD_MS, UNREAD_MS, Presence
@@ -148,6 +148,43 @@
     play(test)
 
 
+def test_an_attempt_lets_what_discovery_wrote_be_read_first_and_is_asked_about_after_that() -> None:
+    async def test() -> None:
+        box = CacheBox(good)
+        async with rig({"s0": box}) as made:
+            looks = 0
+
+            def unread() -> bool:
+                nonlocal looks
+                looks += 1
+                if looks == 1:  # what stands unread is a drain that was written long ago; it is read in the next turn
+                    asyncio.get_running_loop().call_soon(setattr, made.node.servers["s0"], "leaving_ms", now_ms() - 1_000.0)
+                return looks == 1
+
+            made.node.list_unread = unread
+            assert status(await made.ask("held")) == 503
+            assert looks > 1 and not box.heads
+
+    play(test)
+
+
+def test_only_after_a_hold_is_discovery_looked_at_once_more() -> None:
+    async def test() -> None:
+        async with rig({"s0": CacheBox(good)}) as made:
+            made.presence.start()
+            await asyncio.sleep(0.2)
+            write_drain(made, "s0")
+            assert not made.discovery.unread()  # the loop is there to read it
+            hold(0.3)
+            assert made.discovery.unread()
+            await until(lambda: made.node.servers["s0"].leaving_ms is not None)
+            await asyncio.sleep(0.2)
+            assert not made.discovery.unread()
+            made.presence.close()
+
+    play(test)
+
+
 def test_a_node_that_turns_too_slowly_refuses_what_it_could_only_fail() -> None:
     async def test() -> None:
         box = CacheBox(good)
