--- a/tests/test_address_book.py
+++ b/tests/test_address_book.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import pytest
@@ -75,20 +76,26 @@
         self.cache = EntryCache()
         self._slice_servers = slice_servers
 
+    @contextmanager
+    def _bounds(self) -> Iterator[None]:
+        """The slice size of this taker, and one moment for both (a start that is news counts from now)."""
+        names = vars(address_book)
+        before = names["SLICE_SERVERS"], names["now_ms"]
+        names["SLICE_SERVERS"], names["now_ms"] = self._slice_servers, lambda: NOW_MS
+        try:
+            yield
+        finally:
+            names["SLICE_SERVERS"], names["now_ms"] = before
+
     def take(self, line: bytes) -> int:
         """Take a whole line; in how many slices."""
-        before, address_book.SLICE_SERVERS = address_book.SLICE_SERVERS, self._slice_servers
-        clock = vars(address_book)["now_ms"]
-        vars(address_book)["now_ms"] = lambda: NOW_MS
-        try:
+        with self._bounds():
             raw = parse_raw(line)
             return sum(1 for _ in self.book.take(raw.generation, raw.whole, read_entries(raw.entries, self.cache), raw.whole))
-        finally:
-            address_book.SLICE_SERVERS = before
-            vars(address_book)["now_ms"] = clock
 
     def heed(self, text: bytes) -> None:
-        self.book.heed(claims_of(text, self.cache), generation_of(text))
+        with self._bounds():
+            self.book.heed(claims_of(text, self.cache), generation_of(text))
 
 
 entries_of = st.lists(
