Log start, first list, up and end of a process; count calls and sends by list age

Need: the logs of the incident of 2026-12-04 do not say which process served, from which list, when and why it called discovery, or what its yes rested on.

Change: one line each at start (process, saved list, listening socket), for each call until the first list (cause, time since the start), at the first list, when the node is up (received or saved list), when its shutdown begins and at its end. Figures: calls to discovery by cause, attempts by the age of the list, attempts before the first list. No behaviour changes.

--- a/corkshift/admin/status.py
+++ b/corkshift/admin/status.py
@@ -7,7 +7,7 @@
 from corkshift.discovery import Discovery
 from corkshift.frontend import Frontend
 from corkshift.loop_lag import STALL_BUCKETS_MS
-from corkshift.metrics import KINDS, Metrics
+from corkshift.metrics import KINDS, LIST_AGE_BUCKETS_MS, Metrics
 from corkshift.node import Node
 from corkshift.seam import now_ms
 
@@ -77,6 +77,16 @@
         rows += [
             f"{METRIC_PREFIX}.pool.{state}={count}" for state, count in self.node.health().items()
         ]
+        rows += [
+            f"{METRIC_PREFIX}.discovery.calls.{cause}={count}"
+            for cause, count in self.discovery.call_counts.items()
+        ]
+        ages = [f"{upper:g}" for upper in LIST_AGE_BUCKETS_MS] + ["more"]
+        rows += [
+            f"{METRIC_PREFIX}.sends.list_age_ms.{bound}={count}"
+            for bound, count in zip(ages, metrics.sends_by_list_age, strict=True)
+        ]
+        rows.append(f"{METRIC_PREFIX}.sends.before_first_list={metrics.sends_before_first_list}")
         loop_lag = self.frontend.loop_lag
         bounds = [f"{upper:g}" for upper in STALL_BUCKETS_MS] + ["more"]
         rows += [
--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -26,7 +26,7 @@
 from corkshift.loop_lag import LoopLagMonitor
 from corkshift.seam import Address, now_ms
 from corkshift.upstream import Pool
-from corkshift.watch import SILENCE_TIMEOUT_S, Watch
+from corkshift.watch import SILENCE_TIMEOUT_S, CallCause, Watch
 
 log = logging.getLogger(__name__)
 
@@ -83,6 +83,10 @@
         # Some changes were lost, and no complete line has arrived since.
         self._changes_lost = False
         self._checked_ms = 0.0  # when all watches were last found to have no unread input
+        self.call_counts = dict.fromkeys(CallCause, 0)
+        self._started_ms = now_ms()
+        self._last_input_ms: Optional[float] = None  # when discovery last wrote to a watch
+        self._next_cause = CallCause.START  # why the next call that the decisions ask for is made
 
     def start(self, known: dict[str, Any]) -> None:
         """Start from the list that this node last saved."""
@@ -102,6 +106,17 @@
         self._checked_ms = now_ms()
         return False
 
+    @property
+    def first_list_received(self) -> bool:
+        """Whether this process has received a complete line."""
+        return self._first_list_received.is_set()
+
+    def list_age_ms(self) -> Optional[float]:
+        """Time since discovery last wrote to a watch, in ms; None before the first list."""
+        if self._last_input_ms is None or not self.first_list_received:
+            return None
+        return now_ms() - self._last_input_ms
+
     async def wait_first_list(self) -> None:
         """Wait for the first complete line.
 
@@ -112,7 +127,7 @@
     def follow(self) -> None:
         """Open a watch, unless a watch or a call is open already."""
         if not self._calls:
-            self._call()
+            self._call(self._next_cause)
 
     def move(self, address: Address) -> None:
         """Switch to discovery at another address: call it at once, for the full list.
@@ -127,9 +142,17 @@
         for watch in list(self._calls):
             self._retire(watch)
         self._node.on_list("moved", [])
-        self._call()
+        self._call(CallCause.MOVED)
 
-    def _call(self) -> None:
+    def _call(self, cause: CallCause) -> None:
+        self.call_counts[cause] += 1
+        if not self.first_list_received:
+            log.info(
+                "call to discovery at %s:%d %.0f ms after the start (%s)",
+                *self._address,
+                now_ms() - self._started_ms,
+                cause,
+            )
         timeout_s = AGENT_CALL_TIMEOUT_S if self._agent else CALL_TIMEOUT_S
         watch = Watch(
             self._address, self.address_book.generation, timeout_s, self.loop_lag, self._cache
@@ -153,7 +176,7 @@
         waiting = [watch for watch in self._calls if not watch.answered]
         for oldest in waiting[: max(0, len(waiting) - MAX_PENDING_CALLS + 1)]:
             self._calls.pop(oldest).cancel()
-        self._call()
+        self._call(CallCause.PARALLEL)
 
     def _retire(self, watch: Watch) -> None:
         """Read a watch that is to be replaced for removals only; so too a call not answered yet."""
@@ -202,7 +225,8 @@
             await watch.call()
             while data := await self._next_data(watch):
                 # Input that was unread during a stall counts as notified since it was written.
-                self.address_book.written_ms = now_ms() - self.loop_lag.unread_ms()
+                self._last_input_ms = now_ms() - self.loop_lag.unread_ms()
+                self.address_book.written_ms = self._last_input_ms
                 for line in watch.parser.receive(data):
                     if watch.retiring:
                         self._apply_unconfirmed(line)
@@ -308,6 +332,12 @@
         watch.complete_line_received = True
         self._changes_lost = False
         yield from self.address_book.apply_line(raw.generation, raw.full, pairs, gapless)
+        if not self.first_list_received:
+            log.info(
+                "first list of this process: generation %d, %.0f ms after the start",
+                raw.generation,
+                now_ms() - self._started_ms,
+            )
         self._first_list_received.set()
 
     def _apply_unconfirmed(self, text: bytes) -> None:
@@ -323,6 +353,7 @@
         log.info("watch of discovery at %s:%d is replaced: %s", *watch.address, reason)
         self._retire(watch)
         self._changes_lost = True
+        self._next_cause = CallCause.LOST
         self._node.on_list("lost", [])
 
     def _on_end(self, watch: Watch) -> None:
@@ -333,4 +364,5 @@
         if self._calls.pop(watch, None) is not None:
             self._changes_lost = self._changes_lost or cut
             if not self._calls:
+                self._next_cause = CallCause.LOST if self._changes_lost else CallCause.RETRY
                 self._node.on_list("lost" if self._changes_lost else "failed", [])
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -582,6 +582,14 @@
         self.started = True
         self._sweep()
 
+    @property
+    def summary(self) -> str:
+        """The lifecycle state and what is open, for the log."""
+        return (
+            f"{self.lifecycle.state}, {self.node.open} requests and "
+            f"{len(self._connections)} client connections open"
+        )
+
     async def shut_down(self) -> None:
         """Accept for a while longer, finish the open requests, then close all connections.
 
--- a/corkshift/metrics.py
+++ b/corkshift/metrics.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable
+from typing import Optional
 
 from forkweir.retry_after import REFUSAL_CAUSES
 
@@ -18,6 +20,8 @@
 MAX_FAILURE_CAUSES = 512
 MAX_CAUSES_LOGGED = 8
 KINDS = ("ok", "shed", "errors")
+# Upper bounds of the age of the server list at the send of an attempt; see `count_send`.
+LIST_AGE_BUCKETS_MS = (250.0, 1_000.0, 2_500.0, 6_000.0)
 
 
 def response_kind(status: int) -> int:
@@ -42,6 +46,8 @@
         "local_errors",
         "failure_causes",
         "closed_connections",
+        "sends_by_list_age",
+        "sends_before_first_list",
     )
 
     def __init__(self, classes: Iterable[str]) -> None:
@@ -55,6 +61,20 @@
         self.closed_connections: Counter[str] = Counter()
         # Failed attempts since the last log line, by status, server and cause.
         self.failure_causes: Counter[tuple[str, str, str]] = Counter()
+        # Attempts by the age of the server list: one count for each of LIST_AGE_BUCKETS_MS and one
+        # for older lists.
+        self.sends_by_list_age = [0] * (len(LIST_AGE_BUCKETS_MS) + 1)
+        self.sends_before_first_list = 0
+
+    def count_send(self, list_age_ms: Optional[float]) -> None:
+        """Count an attempt that was sent, by the time since discovery last wrote to the node.
+
+        list_age_ms: None if discovery has not sent this process a list yet.
+        """
+        if list_age_ms is None:
+            self.sends_before_first_list += 1
+        else:
+            self.sends_by_list_age[bisect_left(LIST_AGE_BUCKETS_MS, list_age_ms)] += 1
 
     def count_attempt(self, status: str, server: str, cause: str) -> None:
         """Count the end of an attempt. cause: why it failed, in short; empty if it did not."""
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -79,6 +79,8 @@
         self.servers: dict[str, CacheServer] = {}
         self.follow: Callable[[], None] = lambda: None  # starts to follow the server list
         self.list_unread: Callable[[], bool] = lambda: False  # see AttemptOwner
+        # Time since discovery last wrote to this process, in ms; None before its first list.
+        self.list_age_ms: Callable[[], Optional[float]] = lambda: None
 
     @property
     def full(self) -> bool:
@@ -378,6 +380,7 @@
         self, request: ClientRequest, server: CacheServer, announced_ms: int
     ) -> None:
         """See AttemptOwner. Counts and logs requests sent after a limit: each is a node defect."""
+        self.metrics.count_send(self.list_age_ms())
         violation = self.guard.violated(self._send_state(request, server, announced_ms), now_ms())
         if violation is not None:
             log.error(
--- a/corkshift/seam/__init__.py
+++ b/corkshift/seam/__init__.py
@@ -97,6 +97,10 @@
         """The environment variables of the process."""
         ...
 
+    def process_id(self) -> int:
+        """The number of the process, as logs and operators name it."""
+        ...
+
     def random_bytes(self, size: int) -> bytes:
         """`size` cryptographically secure random bytes."""
         ...
@@ -159,6 +163,9 @@
     def environ(self) -> Mapping[str, str]:
         return os.environ
 
+    def process_id(self) -> int:
+        return os.getpid()
+
     def random_bytes(self, size: int) -> bytes:
         return os.urandom(size)
 
@@ -231,6 +238,11 @@
     return CURRENT_SYSTEM.get().environ()
 
 
+def process_id() -> int:
+    """The number of this process."""
+    return CURRENT_SYSTEM.get().process_id()
+
+
 def random_bytes(size: int) -> bytes:
     """`size` cryptographically secure random bytes."""
     return CURRENT_SYSTEM.get().random_bytes(size)
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -84,6 +84,7 @@
         )
         self.node.follow = self.discovery.follow
         self.node.list_unread = self.discovery.has_unread_input
+        self.node.list_age_ms = self.discovery.list_age_ms
         self.tier: Optional[UdpTransport] = None
         if config.tier_peers is not None and (tier is None or tier.on):
             # Imported only where the settings let nodes exchange datagrams, so that a disabled
@@ -123,7 +124,17 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         self.loop_lag.start()
+        started_ms = seam.now_ms()
         self.discovery.start(self.config.known)
+        log.info(
+            "process %d of %s started: saved list of generation %s with %d servers, %s listening "
+            "socket",
+            seam.process_id(),
+            self.config.name,
+            self.discovery.address_book.generation,
+            len(self.node.servers),
+            "inherited" if self._shared_socket else "own",
+        )
         self._reload_if_moved()
         if self.sources is not None:
             self.sources.start()
@@ -138,8 +149,21 @@
             self.frontend.start()
             if self.admin is not None:
                 self.admin.start()
+            log.info(
+                "process %d of %s is up after %.0f ms: %s list of generation %s",
+                seam.process_id(),
+                self.config.name,
+                seam.now_ms() - started_ms,
+                "received" if self.discovery.first_list_received else "saved",
+                self.discovery.address_book.generation,
+            )
         await self._stop.wait()
+        log.info(
+            "process %d of %s ends: %s", seam.process_id(), self.config.name, self.frontend.summary
+        )
         await self.frontend.shut_down()
+        log.info("process %d of %s has ended: closed connections %s", seam.process_id(),
+            self.config.name, dict(self.metrics.closed_connections))  # fmt: skip
         self.loop_lag.close()
         if self.sources is not None:
             self.sources.close()
--- a/corkshift/watch.py
+++ b/corkshift/watch.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import deque
+from enum import StrEnum
 from typing import Optional
 
 import h11
@@ -26,6 +27,16 @@
 MAX_CHUNK_HEADER = 64
 
 
+class CallCause(StrEnum):
+    """Why the node calls discovery; the values are names of metrics."""
+
+    START = "start"  # the first call of the process
+    RETRY = "retry"  # the call before failed, or the watch ended
+    LOST = "lost"  # the watch lost data
+    PARALLEL = "parallel"  # the call before is not answered yet
+    MOVED = "moved"  # discovery has another address
+
+
 class Watch:
     """One call to discovery, from its connection to its end."""
 
--- a/testbed/machine/process.py
+++ b/testbed/machine/process.py
@@ -90,6 +90,10 @@
         """Return the environment variables."""
         return self.environment
 
+    def process_id(self) -> int:
+        """Return 1: virtual processes are told apart by their names."""
+        return 1
+
     def random_bytes(self, size: int) -> bytes:
         """Return bytes from the random stream of the network."""
         return self.net.rng.randbytes(size)
