Keep a drain that is read before the list that adds its server has been applied

Cause: a line behind a list that is still read in slices is read for its removals at once, but AddressBook.apply_unconfirmed dropped those of servers that the book did not know yet; the list then added them as in service. Change: such a departure is recorded, so that the older list does not bring the server into service (forkweir.known.departures).

--- a/corkshift/address_book.py
+++ b/corkshift/address_book.py
@@ -253,6 +253,8 @@
                 self._pending_additions[name] = (replace(server, state="draining"), address)
             if name not in book and entry.address is not None and state in ("draining", "gone"):
                 unknown.append(entry.address)
+                # The list that adds it may still be applied, and is older than this entry.
+                self._record_departure(entry.server, generation)
                 # A server that started later at an address replaces the one known there, whose
                 # removal is among the lost changes (see `_remove_replaced`; seed 20000704,
                 # tests/regressions/drain-under-the-next-name-in-a-lost-line.toml).
@@ -288,10 +290,7 @@
             # Only for held-back servers, so that an older list can still reinstate the last server,
             # which is never held back (see `forkweir.known`).
             if entry.server.name in held and entry.server.state in ("draining", "gone"):
-                stated = (self.generation or 0) + 1 if generation is None else generation
-                self._departures.record(
-                    entry.server.name, stated, entry.server.started_ms, now_ms()
-                )
+                self._record_departure(entry.server, generation)
         entries = [replace(self._known[name], state="draining") for name in held_back]
         started_ms_of = {entry.server.name: entry.server.started_ms for entry in unconfirmed}
         for name in restarted:
@@ -310,6 +309,11 @@
         if entries:
             self._notify("hearsay", entries)
 
+    def _record_departure(self, server: Server, generation: Optional[int]) -> None:
+        """Record an unconfirmed departure; generation as for `apply_unconfirmed`."""
+        stated = (self.generation or 0) + 1 if generation is None else generation
+        self._departures.record(server.name, stated, server.started_ms, now_ms())
+
     def _release_expired(self) -> None:
         """Release the servers whose time for an unreadable entry is over.
 
--- a/tests/test_address_book.py
+++ b/tests/test_address_book.py
@@ -240,3 +240,17 @@
             assert not made.node._balancer.fleet.members["s0"].present
 
     run_async(test)
+
+
+def test_a_drain_read_before_the_list_that_adds_its_server_is_kept() -> None:
+    # The list of thousands of servers is read in slices; a line behind it is read before them.
+    async def test() -> None:
+        subject = BookUnderTest(256)
+        subject.apply_unconfirmed(line_of(8, False, [listed(1, 1, "terminating")]))
+        servers = [listed(0, 0), listed(1, 1)]
+        subject.apply_line(line_of(7, True, servers))
+        assert "s1" not in subject.node.servers
+        subject.apply_line(line_of(9, True, servers))
+        assert subject.node.servers["s1"].leaving_ms is None
+
+    run_async(test)
