Serve only once discovery has sent a list to the process, or a bounded wait is over

Cause: a process said yes 2 ms after its start from the saved list of its configuration and called discovery 0 to 3 s later (PollSchedule.initial_wait): a delay set for a fleet that starts cold, used where a process of the same node had been notified of more.

Change: forkweir/limits/readiness.py decides when a starting process may serve: with a list received by this process; else after 4 s, or 2 refused calls (discovery is down and notifies nobody), or 1 s where lists are pushed, as before. Why it works: what either process was notified of before the yes is in that list.

The tests of a silent agent set the renamed limit, same values.

--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -73,7 +73,6 @@
         self.loop_lag = loop_lag or LoopLagMonitor()
         self._node = node
         self._agent = agent
-        self._first_list_received = asyncio.Event()
         self._address = address
         self._cache = EntryCache()
         # The node's watch and the calls that may become it, oldest first.
@@ -84,6 +83,8 @@
         self._changes_lost = False
         self._checked_ms = 0.0  # when all watches were last found to have no unread input
         self.call_counts = dict.fromkeys(CallCause, 0)
+        self.failed_calls = 0  # calls that ended before a list had come
+        self.first_list_received = False  # this process has received a complete line
         self._started_ms = now_ms()
         self._last_input_ms: Optional[float] = None  # when discovery last wrote to a watch
         self._next_cause = CallCause.START  # why the next call that the decisions ask for is made
@@ -106,24 +107,12 @@
         self._checked_ms = now_ms()
         return False
 
-    @property
-    def first_list_received(self) -> bool:
-        """Whether this process has received a complete line."""
-        return self._first_list_received.is_set()
-
     def list_age_ms(self) -> Optional[float]:
         """Time since discovery last wrote to a watch, in ms; None before the first list."""
         if self._last_input_ms is None or not self.first_list_received:
             return None
         return now_ms() - self._last_input_ms
 
-    async def wait_first_list(self) -> None:
-        """Wait for the first complete line.
-
-        Guards against a new process that serves from an old list while a newer one is available.
-        """
-        await self._first_list_received.wait()
-
     def follow(self) -> None:
         """Open a watch, unless a watch or a call is open already."""
         if not self._calls:
@@ -338,7 +327,7 @@
                 raw.generation,
                 now_ms() - self._started_ms,
             )
-        self._first_list_received.set()
+        self.first_list_received = True
 
     def _apply_unconfirmed(self, text: bytes) -> None:
         """Apply the removals in a corrupt or partial line, or in a line of a retiring watch."""
@@ -361,6 +350,8 @@
         cut = watch.parser.unfinished
         if cut:
             self._apply_unconfirmed(watch.parser.partial_line())
+        if not watch.complete_line_received:
+            self.failed_calls += 1
         if self._calls.pop(watch, None) is not None:
             self._changes_lost = self._changes_lost or cut
             if not self._calls:
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -21,6 +21,7 @@
 from corkshift.stream import KERNEL_BUFFER_BYTES
 from corkshift.upstream import Pool
 from forkweir.limits.lifecycle import ShutdownSchedule
+from forkweir.limits.readiness import Readiness
 
 if TYPE_CHECKING:
     from corkshift.admin import Admin
@@ -32,8 +33,8 @@
 log = logging.getLogger("corkshift")
 
 BODY_BYTES_PER_MB = (1 << 20) // 8  # for request bodies, per megabyte of the memory limit
-# An agent that has sent no list by then is down: the starting node serves from its saved list.
-FIRST_LIST_TIMEOUT_S = 1.0
+# Between two checks whether a starting process may serve.
+READINESS_CHECK_S = 0.01
 
 
 class Service:
@@ -144,7 +145,7 @@
             # Lists are pushed to an agent on this machine, so that what it has counts as notified
             # from the start.
             self.discovery.follow()
-            await self._wait_first_list()
+        await self._wait_ready(started_ms)
         if not self._stop.is_set():
             self.frontend.start()
             if self.admin is not None:
@@ -184,15 +185,16 @@
         if fresh.discovery != self.config.discovery:
             self.reload()
 
-    async def _wait_first_list(self) -> None:
-        """Wait for the agent's list, the stop of this node or FIRST_LIST_TIMEOUT_S."""
-        waits = [
-            asyncio.create_task(self.discovery.wait_first_list()),
-            asyncio.create_task(self._stop.wait()),
-        ]
-        await asyncio.wait(waits, timeout=FIRST_LIST_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
+    async def _wait_ready(self, started_ms: float) -> None:
+        """Wait until this process may serve, or is stopped."""
+        readiness = Readiness(pushed=not self.config.settings.poll_list)
+        while not self._stop.is_set() and not readiness.may_serve(
+            waited_ms=seam.now_ms() - started_ms,
+            list_received=self.discovery.first_list_received,
+            refused_calls=self.discovery.failed_calls,
+            predecessor_serves=False,
+        ):
+            await asyncio.sleep(READINESS_CHECK_S)
 
     def stop(self) -> None:
         """Start the shutdown."""
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -317,7 +317,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # A node must not go on with the list that it started with and miss a drain.
-    monkeypatch.setattr("corkshift.service.FIRST_LIST_TIMEOUT_S", 30.0)
+    monkeypatch.setattr("forkweir.limits.readiness.AGENT_WAIT_MS", 30_000.0)
 
     async def test() -> None:
         boxes = {"s0": CacheBox(), "s1": CacheBox()}
@@ -373,7 +373,7 @@
 def test_a_node_that_is_stopped_before_it_serves_exits_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("corkshift.service.FIRST_LIST_TIMEOUT_S", 30.0)
+    monkeypatch.setattr("forkweir.limits.readiness.AGENT_WAIT_MS", 30_000.0)
 
     async def test() -> None:
         discovery_server = ScriptedDiscovery({})
@@ -395,7 +395,7 @@
 def test_an_unresponsive_agent_does_not_prevent_a_node_from_serving(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("corkshift.service.FIRST_LIST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("forkweir.limits.readiness.AGENT_WAIT_MS", 50.0)
 
     async def test() -> None:
         box = CacheBox()
