Tell the other process of a node of departures and operators' drains during an upgrade

Callers would see: requests at a draining server for up to 2.2 s where the watch of one of two processes of a node is silent or late while the other one has been notified; an operators' drain ended by an upgrade, as /up says yes from the process that took over.

Cause: the processes of a node shared the listening socket and nothing else. Each judged by what it had been notified of itself.

Change: corkshift/handover. A departure of another process holds the server back until a complete line names it (as entries of a lost line do); one that is not newer than this process's list is ignored. The number of open connections goes the same way, so that the limits hold for both together (each may use half whatever the other one has). Only where PROXY_SOCKET_FD is set.

The scan for direct system access names the new file of the seam.

--- a/corkshift/address_book.py
+++ b/corkshift/address_book.py
@@ -25,7 +25,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 from itertools import islice
 from math import inf
@@ -35,7 +35,7 @@
 from corkshift.seam import Address, now_ms
 from corkshift.upstream import CacheServer, Pool
 from forkweir import Server
-from forkweir.known.departures import Departures
+from forkweir.known.departures import Departure, Departures
 from forkweir.known.start_times import StartTimes
 from forkweir.known.unconfirmed import UNREADABLE_TIMEOUT_MS, UnconfirmedEntries, UnconfirmedEntry
 
@@ -102,6 +102,9 @@
         # The entries that were overridden by a later departure, until it expires.
         self._superseded: dict[str, SupersededEntry] = {}
         self._release_timer: Optional[asyncio.TimerHandle] = None
+        # Called with name, generation and start time of each server that a complete line removes
+        # from service, before the line is applied.
+        self.on_departure: Callable[[str, int, float], None] = lambda *_: None
         # New servers of a long list that are still to be added.
         self._pending_additions: dict[str, Entry] = {}
 
@@ -209,8 +212,8 @@
         """
         names = {server.name for server, _ in listed}
         missing = self._unlisted(name for name in self._node.servers if name not in names)
-        for name, server in missing.items():
-            self._departures.record(name, generation, server.started_ms, now_ms())
+        for server in missing.values():
+            self._confirm_departure(server, generation)
         return missing
 
     def _unlisted(self, names: Iterable[str]) -> dict[str, Server]:
@@ -251,10 +254,11 @@
                 server, address = self._pending_additions[name]
                 # It is added later as a draining server, which gets no new requests.
                 self._pending_additions[name] = (replace(server, state="draining"), address)
-            if name not in book and entry.address is not None and state in ("draining", "gone"):
-                unknown.append(entry.address)
+            if name not in book and state in ("draining", "gone"):
                 # The list that adds it may still be applied, and is older than this entry.
                 self._record_departure(entry.server, generation)
+            if name not in book and entry.address is not None and state in ("draining", "gone"):
+                unknown.append(entry.address)
                 # A server that started later at an address replaces the one known there, whose
                 # removal is among the lost changes (see `_remove_replaced`; seed 20000704,
                 # tests/regressions/drain-under-the-next-name-in-a-lost-line.toml).
@@ -309,6 +313,27 @@
         if entries:
             self._notify("hearsay", entries)
 
+    def departures(self) -> list[tuple[str, Departure]]:
+        """The departures that are remembered, by server."""
+        return self._departures.items()
+
+    def apply_peer_departure(self, name: str, generation: int, started_ms: float) -> None:
+        """Apply a departure of which another process of this node was notified.
+
+        Ignored where the list of this process is as new. The server is held back until a complete
+        line of this process names it.
+        """
+        if self.generation is None or generation > self.generation:
+            server = Server(name, state="draining", started_ms=started_ms)
+            self.apply_unconfirmed([RecoveredEntry(server, None)], generation)
+
+    def _confirm_departure(self, server: Server, generation: int) -> None:
+        """Record a departure that a complete line of this generation states."""
+        is_new = self._departures.generation_of(server.name) < generation
+        self._departures.record(server.name, generation, server.started_ms, now_ms())
+        if is_new:
+            self.on_departure(server.name, generation, server.started_ms)
+
     def _record_departure(self, server: Server, generation: Optional[int]) -> None:
         """Record an unconfirmed departure; generation as for `apply_unconfirmed`."""
         stated = (self.generation or 0) + 1 if generation is None else generation
@@ -371,7 +396,7 @@
             if server.state == "in":
                 self._departures.forget(server.name)
             else:
-                self._departures.record(server.name, generation, server.started_ms, now)
+                self._confirm_departure(server, generation)
             self._superseded.pop(server.name, None)
             kept.append((server, address))
         return kept
--- a/corkshift/admin/status.py
+++ b/corkshift/admin/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from corkshift.discovery import Discovery
@@ -14,7 +15,7 @@
 METRIC_PREFIX = "svc"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Status:
     """Health, metrics and lifecycle of a node. Values are read at the time of the request."""
 
@@ -22,6 +23,9 @@
     frontend: Frontend
     discovery: Discovery
     metrics: Metrics
+    # Called after an operator drained the node or put it back into service.
+    on_quiesce: Callable[[], None] = lambda: None
+    on_resume: Callable[[], None] = lambda: None
 
     def can_serve(self) -> bool:
         """Whether the node accepts clients and has received a cache server at least once."""
@@ -29,11 +33,17 @@
 
     def quiesce(self) -> bool:
         """Start to drain; False where the process is about to end."""
-        return self.frontend.lifecycle.quiesce(now_ms())
+        quiesced = self.frontend.lifecycle.quiesce(now_ms())
+        if quiesced:
+            self.on_quiesce()
+        return quiesced
 
     def resume(self) -> bool:
         """End the drain; False where the process is about to end."""
-        return self.frontend.lifecycle.resume(now_ms())
+        resumed = self.frontend.lifecycle.resume(now_ms())
+        if resumed:
+            self.on_resume()
+        return resumed
 
     def metrics_text(self) -> str:
         """All metrics, one per line.
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -27,7 +27,12 @@
 from corkshift.relay import BodyPipe
 from corkshift.seam import Address, Socket, now_ms
 from corkshift.stream import READ_BYTES, Stream
-from forkweir.limits.lifecycle import MAX_COUNTED_DEADLINE_MS, Lifecycle, ShutdownSchedule
+from forkweir.limits.lifecycle import (
+    MAX_COUNTED_DEADLINE_MS,
+    Lifecycle,
+    ShutdownSchedule,
+    shared_limit,
+)
 
 log = logging.getLogger(__name__)
 
@@ -559,6 +564,7 @@
         self.body_budget = BodyBudget(body_bytes)
         self.lifecycle = Lifecycle()
         self.started = False
+        self.peer_connections = 0  # client connections of the node's other processes
         self._shared = shared
         self._limit = limit
         self._connections: dict[ClientConnection, None] = {}  # oldest first
@@ -590,6 +596,11 @@
             f"{len(self._connections)} client connections open"
         )
 
+    @property
+    def connection_count(self) -> int:
+        """The number of open client connections."""
+        return len(self._connections)
+
     async def shut_down(self) -> None:
         """Accept for a while longer, finish the open requests, then close all connections.
 
@@ -662,7 +673,8 @@
     # -- accepting -----------------------------------------------------------------------
 
     def _has_capacity(self) -> bool:
-        return len(self._connections) < self._limit or self._evict_one()
+        limit = shared_limit(self._limit, self.peer_connections)
+        return self.connection_count < limit or self._evict_one()
 
     def _accept(self, sock: Socket) -> None:
         connection = ClientConnection(self, sock, self._listener.queued_ms)
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from corkshift.admin import Admin
+    from corkshift.handover import Peers
     from corkshift.sources.hub import Sources
     from corkshift.sources.options import SourcesTable
     from corkshift.tier.options import TierTable
@@ -94,19 +95,39 @@
             from corkshift.tier.transport import UdpTransport
 
             self.tier = UdpTransport(self.node, config.tier_peers, tier or TierTable())
+        self.peers: Optional[Peers] = self._peers() if self._shared_socket else None
         self.admin: Optional[Admin] = None
         if config.admin is not None:
             # Imported only where an operators' address is set, so that a disabled feature costs
             # nothing.
             from corkshift.admin import Admin, Status
 
-            self.admin = Admin(
-                Status(self.node, self.frontend, self.discovery, self.metrics), config.admin
-            )
+            status = Status(self.node, self.frontend, self.discovery, self.metrics)
+            if self.peers is not None:
+                status.on_quiesce, status.on_resume = self.peers.on_quiesce, self.peers.on_resume
+            self.admin = Admin(status, config.admin)
             if self.tier is not None:
                 self.admin.add_view("/admin/tier", self.tier.view)
         self._stop = asyncio.Event()
 
+    def _peers(self) -> Optional[Peers]:
+        """The node's other processes; None without a folder to share with them."""
+        # Imported only where the platform holds the listening socket, so that a disabled feature
+        # costs nothing.
+        from corkshift.handover import NodeObserver, Peers
+        from corkshift.seam.locked_files import shared_folder
+
+        try:
+            folder = shared_folder(seam.environ(), self.config.name)
+        except OSError as error:
+            log.warning("no folder to share with other processes of this node: %s", error)
+            return None
+        if folder is None:
+            return None
+        peers = Peers(folder, NodeObserver(self.discovery, self.frontend, self.pool))
+        self.discovery.address_book.on_departure = peers.on_departure
+        return peers
+
     @property
     def _shared_socket(self) -> bool:
         """Whether other processes may also have the clients' listening socket open."""
@@ -137,6 +158,8 @@
             "inherited" if self._shared_socket else "own",
         )
         self._reload_if_moved()
+        if self.peers is not None:
+            self.peers.start()
         if self.sources is not None:
             self.sources.start()
         if self.tier is not None:
@@ -166,6 +189,8 @@
         log.info("process %d of %s has ended: closed connections %s", seam.process_id(),
             self.config.name, dict(self.metrics.closed_connections))  # fmt: skip
         self.loop_lag.close()
+        if self.peers is not None:
+            self.peers.close()
         if self.sources is not None:
             self.sources.close()
         if self.tier is not None:
@@ -192,7 +217,7 @@
             waited_ms=seam.now_ms() - started_ms,
             list_received=self.discovery.first_list_received,
             refused_calls=self.discovery.failed_calls,
-            predecessor_serves=False,
+            predecessor_serves=self.peers is not None and self.peers.other_serves,
         ):
             await asyncio.sleep(READINESS_CHECK_S)
 
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -19,6 +19,7 @@
 from corkshift.seam import Address, now_ms
 from corkshift.seam.errors import LOCAL_ERRNOS, error_name
 from corkshift.stream import KERNEL_BUFFER_BYTES, READ_BYTES, Stream
+from forkweir.limits.lifecycle import shared_limit
 from forkweir.send_guard import Denial, announced_wait_ms
 
 # Limit of a response's head, of a chunk's header and of trailers.
@@ -112,6 +113,7 @@
         self._dial_s = dial_timeout_ms / 1000.0
         self._idle_ms = conn_idle_ms * IDLE_TIMEOUT_SHARE
         self._open = 0
+        self.peer_connections = 0  # of the node's other processes
         self._idle: dict[Stream, CacheServer] = {}  # longest idle first
         self._sweep_timer: Optional[asyncio.TimerHandle] = None
 
@@ -148,7 +150,7 @@
             pause_s = min(2.0 * pause_s, MAX_LOCAL_RETRY_DELAY_S)
 
     async def _dial(self, server: CacheServer) -> Stream:
-        if self._open >= self._limit:
+        if self._open >= shared_limit(self._limit, self.peer_connections):
             if not self._idle:
                 raise NotSent("all sockets for cache servers are in use")
             oldest = next(iter(self._idle))
--- a/forkweir/known/departures.py
+++ b/forkweir/known/departures.py
@@ -41,6 +41,15 @@
         """Return whether a departure of this server is remembered."""
         return name in self._latest
 
+    def generation_of(self, name: str) -> int:
+        """Return the generation of a server's departure, -1 if none is remembered."""
+        known = self._latest.get(name)
+        return -1 if known is None else known.generation
+
+    def items(self) -> list[tuple[str, Departure]]:
+        """Return all departures that are remembered, by server."""
+        return list(self._latest.items())
+
     def record(self, name: str, generation: int, started_ms: float, now: float) -> None:
         """Record that a server drains or is gone, according to a list of this generation."""
         known = self._latest.pop(name, None)
--- a/forkweir/limits/lifecycle.py
+++ b/forkweir/limits/lifecycle.py
@@ -25,6 +25,15 @@
 DRAIN_MS = 1_800.0
 
 
+def shared_limit(limit: int, peer_connections: int) -> int:
+    """Return how many connections this process may have open of a limit of the whole node.
+
+    peer_connections: those of the node's other processes, during an upgrade. Each process may use
+    half of the limit whatever the others have open, so that one that starts can serve.
+    """
+    return max(limit - peer_connections, limit // 2)
+
+
 class ShutdownSchedule:
     """When a node does what after SIGTERM, in ms.
 
--- a/tests/test_seam.py
+++ b/tests/test_seam.py
@@ -11,6 +11,7 @@
 REAL_SYSTEM = {
     ROOT / "corkshift" / "seam" / "__init__.py",
     ROOT / "corkshift" / "seam" / "process.py",
+    ROOT / "corkshift" / "seam" / "locked_files.py",
 }
 # Commands run outside of a node, never on virtual time.
 CLI_PACKAGE = ROOT / "corkshift" / "cli"
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -15,7 +15,7 @@
 from typing import Optional
 
 import pytest
-from loopback import OPTIONS, CacheBox, ScriptedDiscovery, entry, run_async, status
+from loopback import OPTIONS, CacheBox, ScriptedDiscovery, entry, request, run_async, status
 from test_process import Process, free_port
 from test_upgrade import Successor, health
 
@@ -207,3 +207,92 @@
             assert up_ms - started_ms <= limit_ms
 
     run_async(test)
+
+
+def test_a_drain_that_the_old_process_is_notified_of_binds_the_new_one(tmp_path: Path) -> None:
+    # The watch of the new process is silent when the server begins to drain.
+    async def test() -> None:
+        async with node_with_two_servers(tmp_path) as (node, leaving, old):
+            discovery_server = node.discovery_server
+            old_watch = next(iter(discovery_server.watches))
+            new, admin_port = await node.start()
+            up_ms = await node.wait_up(admin_port)
+            (new_watch,) = [watch for watch in discovery_server.watches if watch is not old_watch]
+            await asyncio.sleep((up_ms + BINDING_MS - now_ms()) / 1000.0)
+            discovery_server._muted.add(new_watch)
+            drain(discovery_server, leaving)
+            notified_ms = now_ms()
+            await asyncio.sleep(0.02)
+            old.process.send_signal(signal.SIGTERM)
+            end_ms = notified_ms + 1_200.0
+            latest_ms = await last_arrival_ms(new, leaving, lambda: now_ms() > end_ms)
+            assert latest_ms <= notified_ms + GRACE_MS
+
+    run_async(test)
+
+
+def test_a_drain_that_the_new_process_is_notified_of_binds_the_old_one(tmp_path: Path) -> None:
+    # Clients go on using their connections to the old process, whose watch is silent.
+    async def test() -> None:
+        async with node_with_two_servers(tmp_path) as (node, leaving, _):
+            discovery_server = node.discovery_server
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
+            old_watch = next(iter(discovery_server.watches))
+
+            async def ask(n: int) -> None:
+                writer.write(request(f"kept-{n}", path=f"/api/{n}"))
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+                await reader.readexactly(length)
+
+            await ask(0)
+            _, admin_port = await node.start()
+            up_ms = await node.wait_up(admin_port)
+            await asyncio.sleep((up_ms + BINDING_MS - now_ms()) / 1000.0)
+            discovery_server._muted.add(old_watch)
+            drain(discovery_server, leaving)
+            notified_ms, latest_ms, n = now_ms(), 0.0, 0
+            while now_ms() < notified_ms + 1_200.0:
+                n, seen = n + 1, len(leaving.heads)
+                await ask(n)
+                latest_ms = now_ms() if len(leaving.heads) > seen else latest_ms
+                await asyncio.sleep(0.005)
+            writer.transport.abort()
+            assert latest_ms <= notified_ms + GRACE_MS
+
+    run_async(test)
+
+
+def test_a_drain_by_an_operator_holds_for_both_processes_and_ends_for_both(
+    tmp_path: Path,
+) -> None:
+    async def up(process: Process) -> int:
+        return status(
+            await process.send(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        )
+
+    async def test() -> None:
+        async with node_with_two_servers(tmp_path) as (node, _, old):
+            old_port = int(old.extra_environ["PROXY_ADMIN_ADDR"].rpartition(":")[2])
+            assert await call(old_port, "PUT", "/admin/quiesce") == 200
+            new, admin_port = await node.start()
+            await node.wait_up(admin_port)
+            answers = [await up(new) for _ in range(40)]
+            assert set(answers) == {503}
+            assert await call(admin_port, "PUT", "/admin/resume") == 200
+            end_ms = now_ms() + 2_000.0
+            while set([await up(new) for _ in range(40)]) != {200}:
+                assert now_ms() < end_ms
+            assert new.process.returncode is None
+
+    run_async(test)
+
+
+async def call(port: int, method: str, path: str) -> int:
+    """Call an operators' address; returns the status."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    try:
+        return status(await reader.read())
+    finally:
+        writer.transport.abort()
