Soak: upgrades of nodes and operators' drains; a restarted process has 6 s like any other

Need: the soak had no two processes of one node, which is where the incident of 2026-12-04 began.

SIGHUP goes to both processes. The oracle sees one node: told by either process, budgets and requests summed; what discovery tells binds 2 s after the yes. The excuse of 10 s for a new process's saved list is gone: a change counts as notified after 6 s for it, too.

--- a/testbed/soak/__main__.py
+++ b/testbed/soak/__main__.py
@@ -48,6 +48,7 @@
     type=click.FloatRange(4.0, 600.0),
     help="Duration of the load in each run.",
 )
+@click.option("--upgrades", is_flag=True, help="Upgrade nodes and let operators drain them.")
 @click.option(
     "--json", "file", type=click.Path(path_type=Path), help="Write all reports to this file."
 )
@@ -55,7 +56,12 @@
     "--logs", type=click.Path(path_type=Path), help="Keep the files of each run in a folder there."
 )
 def main(
-    seeds: str, nodes: int, seconds: float, file: Optional[Path], logs: Optional[Path]
+    seeds: str,
+    nodes: int,
+    seconds: float,
+    upgrades: bool,
+    file: Optional[Path],
+    logs: Optional[Path],
 ) -> None:
     """Inject random faults into real processes and check the rules.
 
@@ -63,7 +69,7 @@
     """
     reports = []
     for seed in parse_seeds(seeds):
-        report = run(draw(seed, nodes, seconds), logs / str(seed) if logs else None)
+        report = run(draw(seed, nodes, seconds, upgrades), logs / str(seed) if logs else None)
         reports.append(report)
         click.echo(summary_line(report))
         for violation in report.violations[:8]:
--- a/testbed/soak/faults.py
+++ b/testbed/soak/faults.py
@@ -56,6 +56,10 @@
             Fault.CLIENTS_LEAVE: self._clients_leave,
             Fault.CLIENTS_STOP: self._stop_clients,
             Fault.LOAD_BURST: self._load_burst,
+            Fault.NODE_UPGRADE: lambda event: self._node(event).upgrade(
+                event.value, event.duration_s
+            ),
+            Fault.NODE_QUIESCE: lambda event: self._node(event).quiesce(event.duration_s),
         }
 
     async def inject(self, event: Event) -> None:
--- a/testbed/soak/nodes.py
+++ b/testbed/soak/nodes.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 from contextlib import suppress
@@ -19,6 +20,7 @@
 from testbed.soak.oracle import Oracle, Rule
 from testbed.soak.plan import RELOAD_INTERVALS_S
 from testbed.soak.shim import ACCEPT_ERRORS, LOCAL_CONNECT_ERRORS, Shim, SystemCall
+from testbed.systems.clients import CLASSES
 from testbed.systems.http import fetch_body
 from testbed.tier.processes import die_with_parent
 
@@ -26,6 +28,13 @@
 READY_TIMEOUT_S = 30.0
 # Time from SIGTERM to the end of the process.
 SHUTDOWN_LIMIT_S = 4.3
+# From SIGTERM to SIGKILL in an upgrade: the longest deadline of the classes and 0.7 s.
+KILL_DELAY_S = max(kind.deadline_ms for kind in CLASSES) / 1000.0 + 0.7
+# What discovery tells binds so long after the second process of an upgrade is up.
+BINDING_MS = 2_000.0
+# Time from an operator's call until every process answers accordingly.
+DRAIN_ANSWER_LIMIT_S = 2.0
+UP_CALLS = 12  # calls of `/up` that have to get the same answer
 # Clients use a killed node for this long.
 CRASH_DETECTION_S = 0.8
 # Clients open new connections to a node for this long after its SIGTERM.
@@ -63,7 +72,13 @@
     discovery: Discovery
     oracle: Oracle
     endpoint_index: int = 0
+    # The listening socket that its processes share; None: each opens its own.
+    listening: Optional[socket.socket] = None
+    admin_ports: tuple[int, ...] = ()
     process: Optional[asyncio.subprocess.Process] = None
+    # The process that `process` takes over from, until it has ended.
+    predecessor: Optional[asyncio.subprocess.Process] = None
+    admin_index: int = 0
     down_from_s: float = 0.0
     restarting: bool = False
     exit_codes: list[int] = field(default_factory=list)
@@ -98,15 +113,24 @@
 
     async def start(self) -> None:
         """Write the configuration and start a process."""
+        self.process = await self._start_process()
+        self.oracle.started_ms[self.name] = now_ms()
+
+    async def _start_process(self) -> asyncio.subprocess.Process:
         self.write_config()
+        descriptors: tuple[int, ...] = ()
         environ = {
             **os.environ,
             **self.shim.environment,
             "PROXY_CONFIG": str(self._path),
             "TMPDIR": str(self.folder),
         }
+        if self.listening is not None:
+            descriptors = (self.listening.fileno(),)
+            environ["PROXY_SOCKET_FD"] = str(self.listening.fileno())
+            environ["PROXY_ADMIN_ADDR"] = f"127.0.0.1:{self.admin_port}"
         with open(self.folder / f"{self.name}.log", "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            return await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "corkshift",
@@ -116,8 +140,13 @@
                 stdout=log,
                 stderr=log,
                 preexec_fn=die_with_parent,
+                pass_fds=descriptors,
             )
-        self.oracle.started_ms[self.name] = now_ms()
+
+    @property
+    def admin_port(self) -> int:
+        """The port of the latest process's operators' address."""
+        return self.admin_ports[self.admin_index % len(self.admin_ports)]
 
     async def wait_ready(self) -> None:
         """Wait until the node answers.
@@ -125,13 +154,19 @@
         Raises RuntimeError where the process has ended, TimeoutError after READY_TIMEOUT_S.
         """
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while await fetch_body(self.listen, "/up") is None:
+            while await self._health() is None:
                 if self.process is None or self.process.returncode is not None:
                     raise RuntimeError(
                         f"{self.name} did not start; end of its log: {self.log[-800:]}"
                     )
                 await asyncio.sleep(0.05)
 
+    async def _health(self) -> Optional[bytes]:
+        """The answer of the latest process where it is up, else None."""
+        if self.listening is None:
+            return await fetch_body(self.listen, "/up")
+        return await fetch_body(("127.0.0.1", self.admin_port), "/admin/health")
+
     async def start_again(self) -> None:
         """Start it again; clients use it once it answers."""
         await self.start()
@@ -140,6 +175,11 @@
 
     async def stop(self) -> None:
         """Kill the process for good and close the shim."""
+        if self.predecessor is not None and self.predecessor.returncode is None:
+            self.predecessor.kill()
+            await self.predecessor.wait()
+        if self.listening is not None:
+            self.listening.close()
         if self.process is not None:
             if self.process.returncode is None:
                 with suppress(ProcessLookupError):
@@ -189,15 +229,115 @@
         finally:
             self.restarting = False
 
+    async def upgrade(self, term_delay_s: float, kill_after_s: float) -> None:
+        """Start a second process; SIGTERM to the first one `term_delay_s` after it is up.
+
+        kill_after_s: kill the second process so long after its start unless it is up; 0: never.
+        """
+        if self.restarting or self.process is None:
+            return
+        self.restarting = True
+        try:
+            takeover = self.oracle.takeovers[self.name]
+            takeover.begin()
+            self.admin_index += 1
+            new = await self._start_process()
+            if kill_after_s and not await self._is_up_within(kill_after_s):
+                new.kill()
+                self.admin_index -= 1
+                self.exit_codes.append(await new.wait())
+                takeover.end()
+                return
+            self.predecessor, self.process = self.process, new
+            await self.wait_ready()
+            takeover.end(BINDING_MS)
+            await asyncio.sleep(term_delay_s)
+            await self._end_predecessor()
+        finally:
+            self.restarting = False
+
+    async def _is_up_within(self, limit_s: float) -> bool:
+        end_s = time.monotonic() + limit_s
+        while time.monotonic() < end_s:
+            if await self._health() is not None:
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+    async def _end_predecessor(self) -> None:
+        old = self.predecessor
+        assert old is not None
+        old.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(KILL_DELAY_S):
+                self.exit_codes.append(await old.wait())
+        except TimeoutError:
+            self.oracle.record_violation(
+                Rule.CRASH, f"{self.name} was still running {KILL_DELAY_S} s after SIGTERM"
+            )
+            old.kill()
+            await old.wait()
+        self.predecessor = None
+
+    async def quiesce(self, duration_s: float) -> None:
+        """Drain the node as an operator does, and put it back into service."""
+        if self.listening is None or self.restarting and self.predecessor is None:
+            return
+        if await self._call("quiesce") != 200:
+            return
+        await self._wait_up_answers(503, "says that it is up")
+        if not self.down_from_s:
+            self.down_from_s = time.monotonic()
+        await asyncio.sleep(duration_s)
+        while self.restarting and self.predecessor is None:
+            await asyncio.sleep(0.05)
+        if await self._call("resume") == 200:
+            await self._wait_up_answers(200, "does not say that it is up")
+        self.down_from_s = 0.0
+
+    async def _call(self, action: str) -> int:
+        """Call the operators' address of the latest process; returns the status, 0 for none."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.admin_port)
+        except OSError:
+            return 0
+        writer.write(f"PUT /admin/{action} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        try:
+            words = (await reader.read()).split(b" ", 2)
+            return int(words[1]) if len(words) > 1 else 0
+        except OSError:
+            return 0
+        finally:
+            writer.transport.abort()
+
+    async def _wait_up_answers(self, expected: int, complaint: str) -> None:
+        """Wait until a series of calls of `/up` gets the expected status from every process."""
+        process, end_s = self.process, time.monotonic() + DRAIN_ANSWER_LIMIT_S
+        while [await self._up_status() for _ in range(UP_CALLS)] != [expected] * UP_CALLS:
+            if self.process is not process or process is None or process.returncode is not None:
+                return  # killed or replaced meanwhile
+            if time.monotonic() > end_s:
+                self.oracle.record_violation(
+                    Rule.DRAIN_CALL,
+                    f"{self.name} {complaint} {DRAIN_ANSWER_LIMIT_S} s after an operator's call",
+                )
+                return
+
+    async def _up_status(self) -> int:
+        body = await fetch_body(self.listen, "/up")
+        return 503 if body is None else 200
+
     async def reload(self, count: int) -> None:
         """Send `count` SIGHUPs in a row, each switching to the other discovery address."""
         for n in range(count):
-            if self.restarting or self.process is None:
+            if self.process is None or (self.restarting and self.predecessor is None):
                 return
             self.endpoint_index = 1 - self.endpoint_index
             self.write_config()
-            with suppress(ProcessLookupError):
-                self.process.send_signal(signal.SIGHUP)
+            for process in (self.process, self.predecessor):
+                if process is not None:
+                    with suppress(ProcessLookupError):
+                        process.send_signal(signal.SIGHUP)
             if n < len(RELOAD_INTERVALS_S):
                 await asyncio.sleep(RELOAD_INTERVALS_S[n])
 
--- a/testbed/soak/oracle.py
+++ b/testbed/soak/oracle.py
@@ -25,8 +25,6 @@
 # A node counts as notified of a change once it could reach discovery without interruption for
 # this long after the change.
 NOTIFICATION_LIMIT_MS = 6_000.0
-# A new process may use the list in its configuration for this long (setting `mustAskInMs`).
-STARTUP_LIMIT_MS = 10_000.0
 # Allowance for the delay between a socket operation and its observation by the peer.
 SOCKET_SLACK_MS = 50.0
 # Attempts that arrive later than this after the client left break a rule.
@@ -47,6 +45,8 @@
     DUPLICATE = "duplicate"
     # A node sent a request to a server after its departure and the grace.
     DRAIN = "drain"
+    # A node did not answer `/up` as an operator's call asks for.
+    DRAIN_CALL = "operator's drain"
     # A cold server got more work than its budget.
     FAILBACK = "failback"
     # An attempt began after the client had left.
@@ -116,11 +116,15 @@
             self._intervals.append((now_ms(), inf))
         self._open += 1
 
-    def end(self) -> None:
-        """Close the open interval now, once `end` was called as often as `begin`."""
+    def end(self, after_ms: float = 0.0) -> None:
+        """Close the open interval `after_ms` from now, once called as often as `begin`."""
         self._open = max(0, self._open - 1)
         if not self._open and self._intervals and self._intervals[-1][1] == inf:
-            self._intervals[-1] = (self._intervals[-1][0], now_ms())
+            self._intervals[-1] = (self._intervals[-1][0], now_ms() + after_ms)
+
+    def end_of(self, at_ms: float) -> float:
+        """The end of the interval that contains a moment, or the moment itself."""
+        return max((end for begin, end in self._intervals if begin <= at_ms < end), default=at_ms)
 
     def add(self, since: float, until: float) -> None:
         """Add an interval; its end may lie in the future."""
@@ -194,7 +198,9 @@
         self.stalled: dict[str, Intervals] = {}
         # The node cannot read as fast as its peers write to it.
         self.slow_io: dict[str, Intervals] = {}
-        # When the process of each node was started.
+        # From the start of a second process until what discovery tells binds the node.
+        self.takeovers: dict[str, Intervals] = {}
+        # When the process of each node was started; an upgrade does not count.
         self.started_ms: dict[str, float] = {}
         # Work that each server received since its cold start.
         self.cold_servers: dict[str, ColdBox] = {}
@@ -380,10 +386,8 @@
             return inf
         started = self.started_ms.get(node, 0.0)
         due = self.discovery_unreachable[node].end_of_first_gap(changed, NOTIFICATION_LIMIT_MS)
-        if started > changed:
-            due = max(due, started + STARTUP_LIMIT_MS)
         written = self._notified_ms.get((node, server), inf)
-        return min(due, written if written >= started else inf)
+        return self.takeovers[node].end_of(min(due, written if written >= started else inf))
 
     def completed_unframed(self, txn: str) -> None:
         """See `servers.ArrivalObserver`."""
--- a/testbed/soak/plan.py
+++ b/testbed/soak/plan.py
@@ -41,7 +41,22 @@
     CLIENTS_LEAVE = "clients-leave"
     CLIENTS_STOP = "clients-stop"  # stop in the middle of a request, stay connected
     LOAD_BURST = "load-burst"
-
+    # Only in plans with upgrades:
+    NODE_UPGRADE = "node-upgrade"  # a second process takes over, then SIGTERM to the first
+    NODE_QUIESCE = "node-quiesce"  # drained by an operator, and put back later
+
+
+# The faults of every plan; the order is part of what a seed draws.
+BASIC_FAULTS = tuple(
+    fault for fault in Fault if fault not in (Fault.NODE_UPGRADE, Fault.NODE_QUIESCE)
+)
+# Of an upgrade: from the second process's yes to SIGTERM of the first.
+MIN_TERM_DELAY_S, MAX_TERM_DELAY_S = 0.05, 6.0
+# Share of the upgrades whose second process is killed before it is up.
+ABORTED_UPGRADE_SHARE = 0.15
+# Servers begin to drain, or start cold, from this long before the start of a second process to
+# this long after it.
+CHANGE_BEFORE_UPGRADE_S, CHANGE_AFTER_UPGRADE_S = 1.0, 4.5
 
 PAUSE_MS = (40, 90, 150)
 # With an answer delayed by at most this, a node still gets a change within 6 s after its watch
@@ -79,10 +94,15 @@
     requests_per_s: float
     unframed_share: float
     events: list[Event] = field(default_factory=list)
+    upgrades: bool = False
+
 
+def draw(seed: int, nodes: int, seconds: float, upgrades: bool = False) -> Plan:
+    """Draw the plan of a seed.
 
-def draw(seed: int, nodes: int, seconds: float) -> Plan:
-    """Draw the plan of a seed."""
+    upgrades: the processes of a node share a listening socket, and some are upgraded; all else is
+    as in the plan without upgrades.
+    """
     rng = random.Random(f"soak/{seed}")
     servers = rng.randint(8, 16)
     events: list[Event] = []
@@ -90,19 +110,64 @@
         events.append(_draw_event(rng, seconds))
     if rng.random() < 0.5:
         events += _draw_incident(rng, seconds)
+    unframed_share = rng.choice((0.0, 0.1, 0.3))
+    if upgrades:
+        events += _draw_upgrades(random.Random(f"soak/upgrades/{seed}"), nodes, seconds)
     return Plan(
         seed=seed,
         nodes=nodes,
         servers=servers,
         seconds=seconds,
         requests_per_s=12.0 * nodes,
-        unframed_share=rng.choice((0.0, 0.1, 0.3)),
+        unframed_share=unframed_share,
         events=sorted(events, key=lambda event: event.at_s),
+        upgrades=upgrades,
+    )
+
+
+def _draw_upgrades(rng: random.Random, nodes: int, seconds: float) -> list[Event]:
+    """Draw upgrades one node at a time or of all at once, with changes of the list around them."""
+    events: list[Event] = []
+    at_s, all_at_once = (
+        rng.uniform(FAULT_FREE_START_S, FAULT_FREE_START_S + 1.0),
+        rng.random() < 0.4,
     )
+    last_s = max(FAULT_FREE_START_S + 1.0, seconds - 4.0)
+    while at_s < last_s:
+        targets = range(nodes) if all_at_once else [rng.randrange(nodes)]
+        for target in targets:
+            kill_after_s = rng.uniform(0.1, 0.4) if rng.random() < ABORTED_UPGRADE_SHARE else 0.0
+            term_delay_s = rng.uniform(MIN_TERM_DELAY_S, MAX_TERM_DELAY_S) ** 2 / MAX_TERM_DELAY_S
+            events.append(
+                Event(
+                    at_s + rng.uniform(0.0, 0.3),
+                    Fault.NODE_UPGRADE,
+                    target,
+                    kill_after_s,
+                    max(MIN_TERM_DELAY_S, term_delay_s),
+                )
+            )
+        change = rng.choice((Fault.SERVERS_DRAIN, Fault.SERVERS_DRAIN, Fault.SERVERS_REPLACED))
+        change_s = at_s + rng.uniform(-CHANGE_BEFORE_UPGRADE_S, CHANGE_AFTER_UPGRADE_S)
+        events.append(Event(min(max(0.5, change_s), seconds - 0.5), change, rng.randrange(1_000)))
+        if rng.random() < 0.3:
+            events.append(
+                Event(
+                    max(0.5, at_s + rng.uniform(-1.5, 1.5)),
+                    Fault.NODE_QUIESCE,
+                    targets[0],
+                    rng.uniform(2.0, 4.0),
+                )
+            )
+        if rng.random() < 0.3:
+            delay_s = rng.choice(DISCOVERY_DELAYS_S)
+            events.append(Event(at_s, Fault.DISCOVERY_SLOW, duration_s=4.0, value=delay_s))
+        at_s += rng.uniform(4.0, 7.0) if all_at_once else rng.uniform(1.0, 2.5)
+    return events
 
 
 def _draw_event(rng: random.Random, seconds: float) -> Event:
-    kind = rng.choice(list(Fault))
+    kind = rng.choice(BASIC_FAULTS)
     at_s = rng.uniform(FAULT_FREE_START_S, max(FAULT_FREE_START_S + 1.0, seconds - 4.0))
     target = rng.randrange(1_000)
     spans: dict[Fault, float] = {
--- a/testbed/soak/world.py
+++ b/testbed/soak/world.py
@@ -8,8 +8,9 @@
 import asyncio
 import random
 import signal
+import socket
 from pathlib import Path
-from typing import Any
+from typing import Any, Optional
 
 from corkshift.seam import now_ms
 from testbed.soak.discovery import Discovery, Entry, in_service_entry
@@ -118,12 +119,17 @@
 
     def _make_node(self, n: int) -> Node:
         name = f"n{n}"
-        listen, admin = self._ports.take(), self._ports.take()
+        listening: Optional[socket.socket] = None
+        if self.plan.upgrades:
+            listening = socket.create_server((HOST, 0), backlog=4_096)
+        listen = listening.getsockname()[1] if listening is not None else self._ports.take()
+        admin, second_admin = self._ports.take(), self._ports.take()
         for table in (
             self.oracle.discovery_unreachable,
             self.oracle.exempt,
             self.oracle.stalled,
             self.oracle.slow_io,
+            self.oracle.takeovers,
         ):
             table[name] = Intervals()
         config: dict[str, Any] = {
@@ -135,7 +141,17 @@
             "settings": settings(CLASSES, POLL_WITHIN_MS),
         }
         shim = Shim(self._library, self.folder / f"{name}.shim")
-        return Node(name, (HOST, listen), self.folder, shim, config, self.discovery, self.oracle)
+        return Node(
+            name,
+            (HOST, listen),
+            self.folder,
+            shim,
+            config,
+            self.discovery,
+            self.oracle,
+            listening=listening,
+            admin_ports=(admin, second_admin),
+        )
 
     def check_node_processes(self) -> None:
         """Record defects that nodes logged, and unexpected exit codes, as violations."""
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -9,7 +9,7 @@
 
 from testbed.soak import oracle as oracle_module
 from testbed.soak.oracle import Intervals, Oracle, Rule
-from testbed.soak.plan import Fault, draw
+from testbed.soak.plan import BASIC_FAULTS, Fault, draw
 from testbed.soak.rig import run
 from testbed.systems.clients import CLASSES, ClientRequest
 from testbed.systems.http import Message
@@ -30,6 +30,7 @@
             self.oracle.exempt,
             self.oracle.stalled,
             self.oracle.slow_io,
+            self.oracle.takeovers,
         ):
             table["n0"] = Intervals()
 
@@ -222,7 +223,12 @@
 def test_plans_are_drawn_from_their_seed_alone_and_reach_every_fault() -> None:
     assert draw(7, 12, 14.0) == draw(7, 12, 14.0) != draw(8, 12, 14.0)
     plans = [draw(seed, 12, 14.0) for seed in range(60)]
-    assert {event.kind for plan in plans for event in plan.events} == set(Fault)
+    assert {event.kind for plan in plans for event in plan.events} == set(BASIC_FAULTS)
+    with_upgrades = [draw(seed, 12, 14.0, upgrades=True) for seed in range(60)]
+    assert {event.kind for plan in with_upgrades for event in plan.events} == set(Fault)
+    for plan, upgraded in zip(plans, with_upgrades, strict=True):
+        assert [event for event in upgraded.events if event in plan.events] == plan.events
+    plans += with_upgrades
     assert all(0.0 < event.at_s < 14.0 for plan in plans for event in plan.events)
 
 
