--- a/corkshift/__main__.py
+++ b/corkshift/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from corkshift.start import serve
+from corkshift.paced_import import prepare
 
 
 def main() -> int:
@@ -13,6 +13,9 @@
         from corkshift.cli import command
 
         return command(sys.argv[1:])
+    prepare()
+    from corkshift.start import serve
+
     return serve()
 
 
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -565,7 +565,8 @@
         self.lifecycle = Lifecycle()
         self.started = False
         self.peer_connections = 0  # client connections of the node's other processes
-        self._shared = shared
+        # Whether another process accepts what waits in the queue of the listening socket.
+        self.other_accepts: Callable[[], bool] = lambda: shared
         self._limit = limit
         self._connections: dict[ClientConnection, None] = {}  # oldest first
         # Connections without an open request, in the order in which they were added. That is about
@@ -575,7 +576,7 @@
         self._idle: dict[ClientConnection, None] = {}  # idle after a response
         # Set when the last connection is removed; meaningful only in `_wait_until_closed`.
         self._all_closed = asyncio.Event()
-        self._listener = Listener(listener, self._has_capacity, self._accept)
+        self._listener = Listener(listener, self._has_capacity, self._accept, inherited=shared)
 
     @property
     def address(self) -> Address:
@@ -612,11 +613,11 @@
         if not self.started:
             self._listener.close()  # no connection has been accepted yet
             return
-        if self._shared:
-            # The next process accepts what waits in the shared queue.
+        handed_over = self.other_accepts()
+        if handed_over:
             self._listener.close()
         await asyncio.sleep(schedule.accept_ms / 1000.0)
-        if not self._shared:
+        if not handed_over:
             # Connections in the kernel's queue may hold requests that count as accepted, so all
             # of them are accepted as capacity allows.
             with suppress(TimeoutError):
--- a/corkshift/handover/messages.py
+++ b/corkshift/handover/messages.py
@@ -18,6 +18,19 @@
     RESUME = "resume"
 
 
+class ProcessState(StrEnum):
+    """How far a process is; before the first of these it starts."""
+
+    SERVING = "serving"
+    ENDING = "ending"
+
+
+class State(msgspec.Struct, frozen=True, tag="state"):
+    """The process has reached a state."""
+
+    state: ProcessState
+
+
 class Departure(msgspec.Struct, frozen=True, tag="departure"):
     """A server drains or is gone, according to a complete line of discovery.
 
@@ -42,7 +55,7 @@
     servers: int
 
 
-Message = Departure | DrainCall | Usage
+Message = State | Departure | DrainCall | Usage
 _DECODER = msgspec.json.Decoder(Message)
 
 
--- a/corkshift/handover/peers.py
+++ b/corkshift/handover/peers.py
@@ -15,6 +15,8 @@
     DrainCall,
     Message,
     MessageReader,
+    ProcessState,
+    State,
     Usage,
     encode,
 )
@@ -62,6 +64,7 @@
         """Open its journal. Raises OSError."""
         self.journal = PeerJournal(folder, name)
         self.usage = Usage(0, 0)
+        self.state: Optional[ProcessState] = None
         self._reader = MessageReader()
 
     def receive(self) -> list[Message]:
@@ -87,10 +90,10 @@
         self._next_search_s = 0.0
         self._failing = False  # the last access to the folder failed
 
-    @property
     def other_serves(self) -> bool:
-        """Whether another process of this node runs."""
-        return bool(self._peers)
+        """Whether another process of this node accepts clients, as far as it has said."""
+        self._refresh()
+        return any(peer.state is ProcessState.SERVING for peer in self._peers.values())
 
     def start(self) -> None:
         """Find the other processes, read their journals and create this one's."""
@@ -117,6 +120,14 @@
         if self._peers:
             self._append(Departure(server, generation, started_ms))
 
+    def on_serving(self) -> None:
+        """Tell the other processes that this one accepts clients."""
+        self._append(State(ProcessState.SERVING))
+
+    def on_ending(self) -> None:
+        """Tell the other processes that this one is about to end."""
+        self._append(State(ProcessState.ENDING))
+
     def on_quiesce(self) -> None:
         """Tell the other processes, and those that start later, that the node drains."""
         self._append(DrainCall(Drain.QUIESCE))
@@ -149,12 +160,21 @@
             self._attempt(self._create)
         if loop.time() >= self._next_search_s:
             self._next_search_s = loop.time() + SEARCH_S
-            self._attempt(self._search)
-        for name in list(self._peers):
-            self._attempt(lambda: self._read(name))  # noqa: B023
+            self._refresh()
+        else:
+            self._read_all()
         if self._peers:
             self._publish_usage()
 
+    def _refresh(self) -> None:
+        """Search for further processes and read all journals."""
+        self._attempt(self._search)
+        self._read_all()
+
+    def _read_all(self) -> None:
+        for name in list(self._peers):
+            self._attempt(lambda: self._read(name))  # noqa: B023
+
     def _search(self) -> None:
         own = self._own.name if self._own is not None else ""
         for name in journals(self._folder):
@@ -182,6 +202,8 @@
                 self._observer.on_drain_call(message.call)
             elif isinstance(message, Usage):
                 peer.usage = message
+            elif isinstance(message, State):
+                peer.state = message.state
         self._observer.on_usage(
             Usage(
                 sum(other.usage.clients for other in self._peers.values()),
--- a/corkshift/listener.py
+++ b/corkshift/listener.py
@@ -28,14 +28,19 @@
     """
 
     def __init__(
-        self, sock: Socket, has_capacity: Callable[[], bool], on_accept: Callable[[Any], None]
+        self,
+        sock: Socket,
+        has_capacity: Callable[[], bool],
+        on_accept: Callable[[Any], None],
+        inherited: bool = False,
     ) -> None:
+        """inherited: connections may have waited in its queue since before this process began."""
         self._sock = sock
         self._has_capacity = has_capacity
         self._on_accept = on_accept
         self._accepting = False
         # Since when connections have had to wait in the queue.
-        self._blocked_since_ms: Optional[float] = None
+        self._blocked_since_ms: Optional[float] = 0.0 if inherited else None
 
     @property
     def queued_ms(self) -> float:
--- a/corkshift/seam/locked_files.py
+++ b/corkshift/seam/locked_files.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from typing import Optional
 
+from corkshift.paced_import import FOLDER_PREFIX
+
 READ_BYTES = 65_536
 FILE_SUFFIX = ".journal"
 
@@ -24,7 +26,7 @@
     temporary = environ.get("TMPDIR")
     if not temporary:
         return None
-    folder = Path(temporary) / f"gradeshift-{name.replace('/', '_')}"
+    folder = Path(temporary) / f"{FOLDER_PREFIX}{name.replace('/', '_')}"
     folder.mkdir(mode=0o700, exist_ok=True)
     return folder
 
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -126,6 +126,7 @@
             return None
         peers = Peers(folder, NodeObserver(self.discovery, self.frontend, self.pool))
         self.discovery.address_book.on_departure = peers.on_departure
+        self.frontend.other_accepts = peers.other_serves
         return peers
 
     @property
@@ -171,6 +172,8 @@
         await self._wait_ready(started_ms)
         if not self._stop.is_set():
             self.frontend.start()
+            if self.peers is not None:
+                self.peers.on_serving()
             if self.admin is not None:
                 self.admin.start()
             log.info(
@@ -185,6 +188,8 @@
         log.info(
             "process %d of %s ends: %s", seam.process_id(), self.config.name, self.frontend.summary
         )
+        if self.peers is not None:
+            self.peers.on_ending()
         await self.frontend.shut_down()
         log.info("process %d of %s has ended: closed connections %s", seam.process_id(),
             self.config.name, dict(self.metrics.closed_connections))  # fmt: skip
@@ -217,7 +222,7 @@
             waited_ms=seam.now_ms() - started_ms,
             list_received=self.discovery.first_list_received,
             refused_calls=self.discovery.failed_calls,
-            predecessor_serves=self.peers is not None and self.peers.other_serves,
+            predecessor_serves=self.peers is not None and self.peers.other_serves(),
         ):
             await asyncio.sleep(READINESS_CHECK_S)
 
--- a/testbed/soak/nodes.py
+++ b/testbed/soak/nodes.py
@@ -55,6 +55,12 @@
 }
 
 
+def _prepare_child() -> None:
+    """Die with the rig; ignore SIGHUP as `run` in the deploy file does."""
+    die_with_parent()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 @dataclass(slots=True)
 class Node:
     """One node: its configuration, its process and the faults of that process.
@@ -139,7 +145,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=die_with_parent,
+                preexec_fn=_prepare_child,
                 pass_fds=descriptors,
             )
 
--- a/tests/test_seam.py
+++ b/tests/test_seam.py
@@ -12,6 +12,7 @@
     ROOT / "corkshift" / "seam" / "__init__.py",
     ROOT / "corkshift" / "seam" / "process.py",
     ROOT / "corkshift" / "seam" / "locked_files.py",
+    ROOT / "corkshift" / "paced_import.py",  # runs before the seam is loaded
 }
 # Commands run outside of a node, never on virtual time.
 CLI_PACKAGE = ROOT / "corkshift" / "cli"
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -296,3 +296,46 @@
         return status(await reader.read())
     finally:
         writer.transport.abort()
+
+
+@pytest.mark.parametrize("ending", ["alone", "both"])
+def test_a_process_that_ends_accepts_while_no_other_one_does(tmp_path: Path, ending: str) -> None:
+    # Guards against connections that wait in the shared queue until a later process starts.
+    async def test() -> None:
+        async with node_with_two_servers(tmp_path) as (node, _, old):
+            processes = [old]
+            if ending == "both":
+                new, admin_port = await node.start()
+                await node.wait_up(admin_port)
+                processes.append(new)
+            for process in processes:
+                process.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            assert [status(await old.ask(f"late-{n}")) for n in range(6)] == [200] * 6
+            for process in processes:
+                assert await process.process.wait() == 0
+
+    run_async(test)
+
+
+def test_time_in_the_queue_of_an_inherited_socket_counts_towards_the_deadline(
+    tmp_path: Path,
+) -> None:
+    # A request may have waited since before the process began.
+    async def test() -> None:
+        async with node_with_two_servers(tmp_path) as (node, _, old):
+            old.process.kill()
+            await old.process.wait()
+            boxes = list(node.discovery_server.boxes.values())
+            seen = sum(len(box.heads) for box in boxes)
+            waiting = asyncio.create_task(old.ask("queued"))  # its client waits 20 s
+            sent_ms = now_ms()
+            await asyncio.sleep(1.0)
+            await node.start()
+            assert status(await waiting) == 200
+            (head,) = [head for box in boxes for head in box.heads if b"queued" in head]
+            assert sum(len(box.heads) for box in boxes) == seen + 1
+            announced = int(head.lower().partition(b"x-remaining-ms:")[2].split(b"\r\n")[0])
+            assert announced <= 20_000 - 1_000 and now_ms() > sent_ms + 1_000.0
+
+    run_async(test)
