--- /dev/null
+++ b/benchmarks/startup_calls.py
@@ -0,0 +1,76 @@
+"""Calls to discovery of many nodes that start at once: the most in any 100 ms.
+
+    python -m benchmarks.startup_calls [--nodes 40] [--draws 500] [--json FILE]
+
+Compares spreads of the first call. The start of the interpreter, which spreads them further, is not
+counted.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+from pathlib import Path
+from statistics import mean, quantiles
+
+from forkweir.known import discovery_polling
+from forkweir.known.discovery_polling import PollSchedule
+
+POLL_WITHIN_MS = 10_000.0
+WINDOW_MS = 100.0
+# Fraction of the polling interval and upper bound in ms: until 2026-12-04, and now.
+SPREADS = {
+    "before": (0.3, 3_000.0),
+    "now": (discovery_polling.INITIAL_WAIT_FRACTION, discovery_polling.MAX_INITIAL_WAIT_MS),
+}
+
+
+def most_in_a_window(times_ms: list[float]) -> int:
+    """The most of these times in any window of WINDOW_MS."""
+    ordered = sorted(times_ms)
+    return max(
+        sum(first <= at < first + WINDOW_MS for at in ordered[n:])
+        for n, first in enumerate(ordered)
+    )
+
+
+def first_calls(nodes: int, draw: int) -> list[float]:
+    """When each node makes its first call, in ms after the common start."""
+    return [
+        PollSchedule(POLL_WITHIN_MS, random.Random(draw * nodes + n)).initial_wait()
+        for n in range(nodes)
+    ]
+
+
+def measure(nodes: int, draws: int) -> dict[str, dict[str, float]]:
+    """For each spread: the most calls in a window (mean and 95th percentile), the mean wait."""
+    results = {}
+    for name, (fraction, limit_ms) in SPREADS.items():
+        vars(discovery_polling).update(INITIAL_WAIT_FRACTION=fraction, MAX_INITIAL_WAIT_MS=limit_ms)
+        calls = [first_calls(nodes, draw) for draw in range(draws)]
+        most = [float(most_in_a_window(times)) for times in calls]
+        results[name] = {
+            "most, mean": mean(most),
+            "most, 95 %": quantiles(most, n=20)[-1],
+            "wait, ms": mean(mean(times) for times in calls),
+        }
+    return results
+
+
+def main() -> None:
+    """Print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--nodes", type=int, default=40)
+    parser.add_argument("--draws", type=int, default=500)
+    parser.add_argument("--json", type=Path)
+    options = parser.parse_args()
+    results = measure(options.nodes, options.draws)
+    for name, figures in results.items():
+        print(name, ", ".join(f"{label} {value:.1f}" for label, value in figures.items()))
+    if options.json is not None:
+        options.json.write_text(json.dumps(results, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/corkshift/paced_import.py
+++ b/corkshift/paced_import.py
@@ -14,8 +14,8 @@
 
 FOLDER_PREFIX = "gradeshift-"  # of the folder in `$TMPDIR` that the processes of a node share
 # Pause after each step, as a multiple of the processor time that it took, and the sum of all.
-PAUSE_FACTOR = 2.0
-MAX_PAUSES_S = 2.0
+PAUSE_FACTOR = 7.0
+MAX_PAUSES_S = 5.0
 # In an order in which none loads much more than itself.
 STEPS = (
     "logging",
--- a/testbed/soak/__main__.py
+++ b/testbed/soak/__main__.py
@@ -23,7 +23,8 @@
 def summary_line(report: Report) -> str:
     """A one-line summary of a report."""
     totals = report.counts
-    shown = ("asked", "served", "refused", "failed", "left", "unframed", "unframed served")
+    shown = ["asked", "served", "refused", "failed", "left", "unframed", "unframed served"]
+    shown += [name for name in ("upgrades", "operator drains") if name in totals]
     counts = ", ".join(f"{name} {totals.get(name, 0)}" for name in shown)
     state = f"{len(report.violations)} VIOLATIONS" if report.violations else "kept"
     return (
--- a/testbed/soak/nodes.py
+++ b/testbed/soak/nodes.py
@@ -257,6 +257,7 @@
             self.predecessor, self.process = self.process, new
             await self.wait_ready()
             takeover.end(BINDING_MS)
+            self.oracle.counts["upgrades"] += 1
             await asyncio.sleep(term_delay_s)
             await self._end_predecessor()
         finally:
@@ -291,6 +292,7 @@
             return
         if await self._call("quiesce") != 200:
             return
+        self.oracle.counts["operator drains"] += 1
         await self._wait_up_answers(503, "says that it is up")
         if not self.down_from_s:
             self.down_from_s = time.monotonic()
--- /dev/null
+++ b/tests/handover/test_peers.py
@@ -0,0 +1,199 @@
+"""Journals between the processes of one node: what is read after cuts, failures and ends."""
+
+from __future__ import annotations
+
+import errno
+import importlib
+from collections.abc import Iterable
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from loopback import run_async, until
+
+from corkshift.handover import Peers
+from corkshift.handover.messages import (
+    MAX_LINE_BYTES,
+    Departure,
+    Drain,
+    DrainCall,
+    Message,
+    MessageReader,
+    ProcessState,
+    State,
+    Usage,
+    encode,
+)
+from corkshift.paced_import import STEPS, starts_beside_another
+from corkshift.seam.locked_files import OwnJournal, PeerJournal
+
+MESSAGES: list[Message] = [
+    State(ProcessState.SERVING),
+    Departure("s1", 41, 1_764_547_200_000.0),
+    DrainCall(Drain.QUIESCE),
+    Usage(12, 30),
+]
+TEXT = b"".join(encode(message) for message in MESSAGES)
+
+
+class Observer:
+    """Records what other processes tell."""
+
+    def __init__(self, departures: Iterable[Departure] = ()) -> None:
+        self.known = list(departures)
+        self.departed: list[Departure] = []
+        self.calls: list[Drain] = []
+        self.used = Usage(0, 0)
+
+    def departures(self) -> Iterable[Departure]:
+        return self.known
+
+    def usage(self) -> Usage:
+        return Usage(1, 2)
+
+    def on_departures(self, departures: list[Departure]) -> None:
+        self.departed += departures
+
+    def on_drain_call(self, call: Drain) -> None:
+        self.calls.append(call)
+
+    def on_usage(self, usage: Usage) -> None:
+        self.used = usage
+
+
+@given(st.lists(st.integers(0, len(TEXT)), max_size=6))
+def test_messages_are_the_same_wherever_a_journal_is_read_in_between(cuts: list[int]) -> None:
+    reader, found = MessageReader(), list[Message]()
+    bounds = [0, *sorted(cuts), len(TEXT)]
+    for begin, end in zip(bounds, bounds[1:], strict=False):
+        found += reader.receive(TEXT[begin:end])
+    assert found == MESSAGES and reader.malformed == 0
+
+
+@given(st.integers(0, len(TEXT) - 1), st.binary(min_size=1, max_size=4))
+def test_a_spoilt_line_costs_no_other_message(at: int, noise: bytes) -> None:
+    spoilt = TEXT[:at] + noise + TEXT[at + len(noise) :]
+    found = MessageReader().receive(spoilt + b"\n" + TEXT)
+    assert found[-len(MESSAGES) :] == MESSAGES
+
+
+def test_an_endless_line_is_bounded() -> None:
+    reader = MessageReader()
+    for _ in range(4):
+        assert reader.receive(b"x" * MAX_LINE_BYTES) == []
+    assert reader.malformed >= 1
+    assert reader.receive(b"\n" + TEXT)[-1] == MESSAGES[-1]
+
+
+def test_each_process_learns_what_the_other_was_notified_of(tmp_path: Path) -> None:
+    async def test() -> None:
+        earlier, later = Departure("s1", 41, 0.0), Departure("s2", 42, 0.0)
+        old_observer, new_observer = Observer([earlier]), Observer()
+        old, new = Peers(tmp_path, old_observer), Peers(tmp_path, new_observer)
+        old.start()
+        old.on_serving()
+        old.on_quiesce()
+        new.start()
+        assert new.other_serves() and new_observer.calls == [Drain.QUIESCE]
+        await until(lambda: new_observer.departed == [earlier])
+        old.on_departure("s2", 42, 0.0)
+        await until(lambda: new_observer.departed == [earlier, later])
+        new.on_resume()
+        new.on_departure("s3", 43, 5.0)
+        await until(lambda: old_observer.departed == [Departure("s3", 43, 5.0)])
+        await until(lambda: old_observer.calls == [Drain.RESUME] and new_observer.used.servers == 2)
+        old.on_ending()
+        assert not new.other_serves()
+        old.close()
+        await until(lambda: new_observer.used == Usage(0, 0))
+        new.close()
+        assert list(tmp_path.iterdir()) == []
+
+    run_async(test)
+
+
+def test_the_journal_of_a_killed_process_is_read_to_its_last_whole_line_and_removed(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        (tmp_path / "0123.journal").write_bytes(TEXT + encode(Departure("s9", 50, 0.0))[:-9])
+        observer = Observer()
+        peers = Peers(tmp_path, observer)
+        peers.start()
+        assert observer.departed == [MESSAGES[1]]
+        # A restart ends an operator's drain, and nobody serves.
+        assert observer.calls == [] and not peers.other_serves()
+        assert not (tmp_path / "0123.journal").exists()
+        peers.close()
+
+    run_async(test)
+
+
+@pytest.mark.parametrize("fault", [errno.ENOSPC, errno.EIO, "short"])
+def test_failed_and_short_writes_are_tried_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fault: int | str
+) -> None:
+    async def test() -> None:
+        old, observer = Peers(tmp_path, Observer()), Observer()
+        new = Peers(tmp_path, observer)
+        old.start()
+        new.start()
+        await until(lambda: bool(old._peers))
+        append, failures = OwnJournal.append, [3]
+
+        def failing(journal: OwnJournal, data: bytes) -> int:
+            if failures[0]:
+                failures[0] -= 1
+                if fault == "short":
+                    return append(journal, data[:5])
+                raise OSError(int(fault), "fault")
+            return append(journal, data)
+
+        monkeypatch.setattr(OwnJournal, "append", failing)
+        old.on_departure("s1", 41, 0.0)
+        await until(lambda: observer.departed == [Departure("s1", 41, 0.0)])
+        old.close()
+        new.close()
+
+    run_async(test)
+
+
+def test_a_folder_that_cannot_be_written_is_tried_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        folder = tmp_path / "later"
+        old_observer = Observer()
+        old, new = Peers(folder, old_observer), Peers(folder, Observer([Departure("s1", 41, 0.0)]))
+        old.start()
+        new.start()
+        assert not old.other_serves()
+        folder.mkdir()
+        await until(lambda: bool(old_observer.departed))
+        old.close()
+        new.close()
+
+    run_async(test)
+
+
+def test_a_lock_tells_whether_the_owner_of_a_journal_lives(tmp_path: Path) -> None:
+    own = OwnJournal(tmp_path, "0123")
+    peer = PeerJournal(tmp_path, own.name)
+    assert peer.owner_alive
+    own.close()
+    assert not peer.owner_alive
+    peer.close(remove=True)
+
+
+def test_a_process_that_starts_beside_another_is_told_by_its_journal(tmp_path: Path) -> None:
+    environ = {"TMPDIR": str(tmp_path), "PROXY_SOCKET_FD": "7"}
+    assert not starts_beside_another(environ)
+    (tmp_path / "gradeshift-n0").mkdir()
+    assert not starts_beside_another(environ)
+    (tmp_path / "gradeshift-n0" / "0123.journal").touch()
+    assert starts_beside_another(environ)
+    assert not starts_beside_another({"TMPDIR": str(tmp_path)})
+    assert not starts_beside_another({**environ, "TMPDIR": str(tmp_path / "missing")})
+    for name in STEPS:
+        importlib.import_module(name)
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -237,3 +237,12 @@
     report = run(draw(3, 3, 5.0))
     assert report.violations == []
     assert report.counts["served"] > 0.8 * report.counts["asked"] > 0
+
+
+@pytest.mark.parametrize("seed", [1, 4])
+def test_a_short_run_with_upgrades_keeps_every_rule(seed: int) -> None:
+    # Three nodes for eight seconds; `python -m testbed.soak --upgrades` does longer runs.
+    report = run(draw(seed, 3, 8.0, upgrades=True))
+    assert report.violations == []
+    assert report.counts["upgrades"] > 0
+    assert report.counts["served"] > 0.5 * report.counts["asked"] > 0
