Takeovers on the virtual clock; serve a saved list only after three refused calls

Need: thousands of takeovers in minutes, with discovery's delay, loss and refusals at every moment.

It now serves after three refused calls (or 4 s).

--- a/corkshift/handover/peers.py
+++ b/corkshift/handover/peers.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from pathlib import Path
 from typing import Optional, Protocol
 
 from corkshift import seam
@@ -20,7 +19,7 @@
     Usage,
     encode,
 )
-from corkshift.seam.locked_files import OwnJournal, PeerJournal, journals
+from corkshift.seam.journals import JournalFolder, OwnJournal
 
 log = logging.getLogger(__name__)
 
@@ -60,9 +59,9 @@
 class Peer:
     """Another process of this node, as its journal shows it."""
 
-    def __init__(self, folder: Path, name: str) -> None:
+    def __init__(self, folder: JournalFolder, name: str) -> None:
         """Open its journal. Raises OSError."""
-        self.journal = PeerJournal(folder, name)
+        self.journal = folder.open(name)
         self.usage = Usage(0, 0)
         self.state: Optional[ProcessState] = None
         self._reader = MessageReader()
@@ -78,7 +77,7 @@
 class Peers:
     """The other processes of this node and the journal of this one."""
 
-    def __init__(self, folder: Path, observer: PeerObserver) -> None:
+    def __init__(self, folder: JournalFolder, observer: PeerObserver) -> None:
         self._folder = folder
         self._observer = observer
         self._peers: dict[str, Peer] = {}
@@ -101,7 +100,7 @@
         self._poll()
 
     def _create(self) -> None:
-        self._own = OwnJournal(self._folder, seam.random_bytes(8).hex())
+        self._own = self._folder.create(seam.random_bytes(8).hex())
 
     def close(self) -> None:
         """Remove this process's journal and close the others."""
@@ -177,7 +176,7 @@
 
     def _search(self) -> None:
         own = self._own.name if self._own is not None else ""
-        for name in journals(self._folder):
+        for name in self._folder.names():
             if name != own and name not in self._peers:
                 self._peers[name] = Peer(self._folder, name)
                 log.info("another process of this node runs: its journal is %s", name)
--- a/corkshift/paced_import.py
+++ b/corkshift/paced_import.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import importlib
 import os
 import time
@@ -47,18 +48,37 @@
 )
 
 
+def is_locked(descriptor: int) -> bool:
+    """Whether another process holds the lock of an open file; true where the system can't tell."""
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
+    except OSError:
+        return True
+    fcntl.flock(descriptor, fcntl.LOCK_UN)
+    return False
+
+
+def _is_locked_file(path: str) -> bool:
+    descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+    try:
+        return is_locked(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def starts_beside_another(environ: Mapping[str, str]) -> bool:
-    """Whether the platform holds the listening socket and a process of the node has left its
-    journal (`corkshift.handover`), so that it probably still serves.
+    """Whether the platform holds the listening socket and another process of the node runs, which
+    has locked its journal (`corkshift.handover`).
     """
     temporary = environ.get("TMPDIR")
     if not temporary or "PROXY_SOCKET_FD" not in environ:
         return False
     try:
         return any(
-            os.listdir(os.path.join(temporary, name))
-            for name in os.listdir(temporary)
-            if name.startswith(FOLDER_PREFIX)
+            _is_locked_file(os.path.join(temporary, folder, name))
+            for folder in os.listdir(temporary)
+            if folder.startswith(FOLDER_PREFIX)
+            for name in os.listdir(os.path.join(temporary, folder))
         )
     except OSError:
         return False
--- a/corkshift/seam/__init__.py
+++ b/corkshift/seam/__init__.py
@@ -23,7 +23,10 @@
 from collections.abc import Mapping
 from contextvars import ContextVar
 from pathlib import Path
-from typing import Any, Optional, Protocol, cast
+from typing import TYPE_CHECKING, Any, Optional, Protocol, cast
+
+if TYPE_CHECKING:
+    from corkshift.seam.journals import JournalFolder
 
 Address = tuple[str, int]  # IPv4 address and port
 # tcpi_last_data_recv of struct tcp_info (linux/tcp.h), in ms.
@@ -101,6 +104,13 @@
         """The number of the process, as logs and operators name it."""
         ...
 
+    def journal_folder(self, name: str) -> Optional[JournalFolder]:
+        """The folder that the processes of the node `name` share; None where there is none.
+
+        Raises OSError where it can't be created.
+        """
+        ...
+
     def random_bytes(self, size: int) -> bytes:
         """`size` cryptographically secure random bytes."""
         ...
@@ -166,6 +176,12 @@
     def process_id(self) -> int:
         return os.getpid()
 
+    def journal_folder(self, name: str) -> Optional[JournalFolder]:
+        # Imported only where processes share a listening socket.
+        from corkshift.seam.locked_files import shared_folder
+
+        return shared_folder(os.environ, name)
+
     def random_bytes(self, size: int) -> bytes:
         return os.urandom(size)
 
@@ -243,6 +259,11 @@
     return CURRENT_SYSTEM.get().process_id()
 
 
+def journal_folder(name: str) -> Optional[JournalFolder]:
+    """The folder that the processes of the node `name` share; None where there is none."""
+    return CURRENT_SYSTEM.get().journal_folder(name)
+
+
 def random_bytes(size: int) -> bytes:
     """`size` cryptographically secure random bytes."""
     return CURRENT_SYSTEM.get().random_bytes(size)
--- a/corkshift/seam/locked_files.py
+++ b/corkshift/seam/locked_files.py
@@ -1,7 +1,6 @@
-"""Files that processes on one machine share: each is appended to by one owner, which locks it.
+"""Journals on the real system: files in `$TMPDIR`, each locked by its owner.
 
-The kernel releases the lock (flock(2)) when the owner ends, however it ends. Only the node's
-process on the real system uses this module.
+The kernel releases the lock (flock(2)) when the owner ends, however it ends.
 """
 
 from __future__ import annotations
@@ -12,13 +11,35 @@
 from pathlib import Path
 from typing import Optional
 
-from corkshift.paced_import import FOLDER_PREFIX
+from corkshift.paced_import import FOLDER_PREFIX, is_locked
 
 READ_BYTES = 65_536
 FILE_SUFFIX = ".journal"
 
 
-def shared_folder(environ: Mapping[str, str], name: str) -> Optional[Path]:
+class LockedFolder:
+    """A folder of journals; see `journals.JournalFolder`."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+
+    def __str__(self) -> str:
+        return str(self._path)
+
+    def names(self) -> list[str]:
+        """See JournalFolder."""
+        return [name for name in os.listdir(self._path) if name.endswith(FILE_SUFFIX)]
+
+    def create(self, token: str) -> LockedFile:
+        """See JournalFolder."""
+        return LockedFile(self._path, token)
+
+    def open(self, name: str) -> ReadFile:
+        """See JournalFolder."""
+        return ReadFile(self._path / name)
+
+
+def shared_folder(environ: Mapping[str, str], name: str) -> Optional[LockedFolder]:
     """The folder that the processes of one node share in `$TMPDIR`, created where it is missing.
 
     None where `$TMPDIR` is not set. Raises OSError where the folder can't be created.
@@ -28,19 +49,14 @@
         return None
     folder = Path(temporary) / f"{FOLDER_PREFIX}{name.replace('/', '_')}"
     folder.mkdir(mode=0o700, exist_ok=True)
-    return folder
-
-
-def journals(folder: Path) -> list[str]:
-    """The names of the journals in a folder. Raises OSError."""
-    return [name for name in os.listdir(folder) if name.endswith(FILE_SUFFIX)]
+    return LockedFolder(folder)
 
 
-class OwnJournal:
-    """The journal of this process."""
+class LockedFile:
+    """The journal of this process; see `journals.OwnJournal`."""
 
     def __init__(self, folder: Path, token: str) -> None:
-        """Create and lock it. token: a random name. Raises OSError.
+        """Create and lock it. Raises OSError.
 
         It gets its name once it is locked, since an unlocked journal is taken for that of a process
         that has ended.
@@ -59,47 +75,39 @@
             raise
 
     def append(self, data: bytes) -> int:
-        """Append bytes and return how many were written. Raises OSError."""
+        """See OwnJournal."""
         return os.write(self._descriptor, data)
 
     def close(self) -> None:
-        """Release the lock and remove the journal; other processes that have it open still can
-        read it.
-        """
-        remove_journal(self._path)
+        """See OwnJournal. Releases the lock."""
+        _remove(self._path)
         os.close(self._descriptor)
 
 
-class PeerJournal:
-    """The journal of another process, read from its start."""
+class ReadFile:
+    """The journal of another process; see `journals.PeerJournal`."""
 
-    def __init__(self, folder: Path, name: str) -> None:
-        """Open it. Raises OSError."""
-        self._path = folder / name
-        self._descriptor = os.open(self._path, os.O_RDONLY | os.O_CLOEXEC)
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
 
     @property
     def owner_alive(self) -> bool:
-        """Whether its owner still runs; true where the system can't tell."""
-        try:
-            fcntl.flock(self._descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
-        except OSError:
-            return True
-        fcntl.flock(self._descriptor, fcntl.LOCK_UN)
-        return False
+        """See PeerJournal."""
+        return is_locked(self._descriptor)
 
     def read(self) -> bytes:
-        """The bytes appended since the last read, at most READ_BYTES. Raises OSError."""
+        """See PeerJournal; at most READ_BYTES."""
         return os.read(self._descriptor, READ_BYTES)
 
     def close(self, remove: bool) -> None:
-        """Close it; remove: its owner has ended without removing it."""
+        """See PeerJournal."""
         if remove:
-            remove_journal(self._path)
+            _remove(self._path)
         os.close(self._descriptor)
 
 
-def remove_journal(path: Path) -> None:
+def _remove(path: Path) -> None:
     """Remove a journal; one that is gone or can't be removed is left."""
     try:
         os.unlink(path)
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -115,10 +115,9 @@
         # Imported only where the platform holds the listening socket, so that a disabled feature
         # costs nothing.
         from corkshift.handover import NodeObserver, Peers
-        from corkshift.seam.locked_files import shared_folder
 
         try:
-            folder = shared_folder(seam.environ(), self.config.name)
+            folder = seam.journal_folder(self.config.name)
         except OSError as error:
             log.warning("no folder to share with other processes of this node: %s", error)
             return None
--- a/forkweir/limits/readiness.py
+++ b/forkweir/limits/readiness.py
@@ -21,7 +21,7 @@
 MAX_WAIT_MS = 4_000.0
 # Below the 30 s in which any process has to be up.
 LIVE_PREDECESSOR_WAIT_MS = 12_000.0
-MAX_REFUSED_CALLS = 2
+MAX_REFUSED_CALLS = 3
 
 
 class Readiness:
--- a/testbed/machine/process.py
+++ b/testbed/machine/process.py
@@ -15,6 +15,7 @@
 
 from corkshift import seam
 from testbed.machine.faults import Call, CallFaults
+from testbed.machine.files import SharedFiles, VirtualFolder
 from testbed.machine.net import Network, VirtualSocket, os_error
 
 EPOCH_MS = 1_764_547_200_000.0  # Unix time at the start of each simulation
@@ -49,6 +50,10 @@
         self.context = Context()  # the context of its code, set by start()
         self.task: Optional[asyncio.Task[Any]] = None
         self.tasks: dict[asyncio.Task[Any], None] = {}
+        # The address of the listening socket that it was started with, and the files that it shares
+        # with other processes of its node.
+        self.inherited_address: Optional[tuple[str, int]] = None
+        self.shared_files: Optional[SharedFiles] = None
         self._clock_start_ms = 0.0
         self._deferred: list[asyncio.Handle] = []
         self._prune_tasks_at = 64
@@ -69,8 +74,19 @@
         return self._socket("datagram")
 
     def inherited_listener(self, descriptor: int) -> VirtualSocket:
-        """Raise OSError (EBADF)."""
-        raise os_error(errno.EBADF)  # no virtual process is started with an open descriptor
+        """Return a socket bound to `inherited_address`; OSError (EBADF) if there is none.
+
+        Each process has a queue of its own there: shared queues are not modelled.
+        """
+        if self.inherited_address is None:
+            raise os_error(errno.EBADF)
+        sock = self.tcp_socket()
+        sock.bind(self.inherited_address)
+        return sock
+
+    def journal_folder(self, name: str) -> Optional[VirtualFolder]:
+        """Return the folder that it shares with other processes; None if it has none."""
+        return None if self.shared_files is None else VirtualFolder(self.shared_files, self)
 
     def closed_by_peer(self, sock: VirtualSocket) -> bool:
         """Whether a FIN or an RST of the peer was received."""
