--- a/corkshift/handover/peers.py
+++ b/corkshift/handover/peers.py
@@ -140,7 +140,7 @@
         if len(self._unwritten) > MAX_UNWRITTEN_BYTES:
             log.error("journal of this process is given up: %d bytes not written",
                 len(self._unwritten))  # fmt: skip
-            self._unwritten = b""
+            self._unwritten = b"\n"  # ends a line that was written in part
         self._attempt(self._flush)
 
     def _flush(self) -> None:
--- a/testbed/machine/loop.py
+++ b/testbed/machine/loop.py
@@ -14,6 +14,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from contextvars import Context, copy_context
 from heapq import heapify, heappop, heappush
 from math import ceil
@@ -61,6 +62,14 @@
         self._iterations = 0  # since the clock last advanced
         self.set_task_factory(_make_task)
 
+    def discard(self) -> None:
+        """Close the loop, and drop the tasks that never ended without asyncio's warnings."""
+        for task in asyncio.all_tasks(self):
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+            with suppress(Exception):
+                task.get_coro().close()
+        self.close()
+
     # -- time ----------------------------------------------------------------------------
 
     def time(self) -> float:
--- a/testbed/nights/takeovers.py
+++ b/testbed/nights/takeovers.py
@@ -17,7 +17,7 @@
 import sys
 from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
 from functools import partial
@@ -338,11 +338,7 @@
     try:
         return loop.run_until_complete(loop.create_task(TakeoverRun(scenario, loop).run()))
     finally:
-        for task in asyncio.all_tasks(loop):
-            task._log_destroy_pending = False  # type: ignore[attr-defined]
-            with suppress(Exception):
-                task.get_coro().close()
-        loop.close()
+        loop.discard()
         asyncio.set_event_loop(None)
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,13 +9,14 @@
 import asyncio
 import signal
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Optional
 
 import pytest
 from loopback import OPTIONS, CacheBox, ScriptedDiscovery, entry, request, run_async, status
+from test_list_freshness import send_until
 from test_process import Process, free_port
 from test_upgrade import Successor, health
 
@@ -125,18 +126,6 @@
         staying.close()
 
 
-async def last_arrival_ms(process: Process, box: CacheBox, over: Callable[[], bool]) -> float:
-    """Send requests until `over` is true; returns when the last one reached the box."""
-    latest_ms, n, seen = 0.0, 0, len(box.heads)
-    while not over():
-        n += 1
-        await process.ask(f"t{now_ms():.3f}", path=f"/api/{n}")
-        if len(box.heads) > seen:
-            seen, latest_ms = len(box.heads), now_ms()
-        await asyncio.sleep(0.005)
-    return latest_ms
-
-
 def drain(discovery_server: DelayedDiscovery, box: CacheBox) -> None:
     """Let the server s0 begin to drain."""
     discovery_server.update(entry("s0", box.port, "terminating"), "terminating")
@@ -157,7 +146,7 @@
             drain(discovery_server, leaving)
             old.process.send_signal(signal.SIGTERM)
             end_ms = up_ms + BINDING_MS + 1_500.0
-            latest_ms = await last_arrival_ms(new, leaving, lambda: now_ms() > end_ms)
+            latest_ms = await send_until(new, leaving, lambda: now_ms() > end_ms)
             assert answered == 2
             assert latest_ms <= up_ms + BINDING_MS + GRACE_MS
 
@@ -182,7 +171,7 @@
             new, admin_port = await node.start(saved)
             await node.wait_up(admin_port)
             end_ms = drained_ms + NOTIFIED_MS + GRACE_MS + 1_000.0
-            latest_ms = await last_arrival_ms(new, leaving, lambda: now_ms() > end_ms)
+            latest_ms = await send_until(new, leaving, lambda: now_ms() > end_ms)
             assert latest_ms <= drained_ms + NOTIFIED_MS + GRACE_MS
             assert node.discovery_server.answered >= 2
 
@@ -226,7 +215,7 @@
             await asyncio.sleep(0.02)
             old.process.send_signal(signal.SIGTERM)
             end_ms = notified_ms + 1_200.0
-            latest_ms = await last_arrival_ms(new, leaving, lambda: now_ms() > end_ms)
+            latest_ms = await send_until(new, leaving, lambda: now_ms() > end_ms)
             assert latest_ms <= notified_ms + GRACE_MS
 
     run_async(test)
