Path counts: start the batches at the same phase of the node's periodic timers

Seen: six counts of tests/test_path_counts.py were one timer in 100 requests higher (get: timers 2.01, 2 held). Looked at: with the old spread of the first call they are the same (2.01), so it is not the calls. Waits of 1.0, 1.3 and 1.5 s were tried: other cases failed in the same way.

Change: the benchmark waits until the front end has started, in steps of the loop lag monitor's period, and 1.5 s more. benchmarks/path_counts.json is unchanged, and what a request costs with it: 11 passed.

--- a/benchmarks/path_counts.py
+++ b/benchmarks/path_counts.py
@@ -24,7 +24,7 @@
 
 from corkshift import seam
 from corkshift.config import load
-from corkshift.loop_lag import LoopLagMonitor
+from corkshift.loop_lag import PERIOD_MS, LoopLagMonitor
 from corkshift.service import Service
 from corkshift.stream import Stream
 from testbed.machine.loop import VirtualLoop
@@ -231,10 +231,16 @@
     node.files["c.json"] = json.dumps(config).encode()
     node.environment["PROXY_CONFIG"] = "c.json"
 
+    started: list[Service] = []
+
     async def program() -> None:
-        await Service(load(seam.environ())).run()
+        started.append(Service(load(seam.environ())))
+        await started[0].run()
 
     node.start(program)
+    # In steps of the period of the node's loop lag monitor, so that its phase is always the same.
+    while not (started and started[0].frontend.started):
+        await asyncio.sleep(PERIOD_MS / 1000.0)
     await asyncio.sleep(1.5)
     done = asyncio.Event()
     counts: dict[str, float] = {}
