Wait for a list only where the listening socket is inherited; spread of first calls as before

Cause: the shorter spread of the first call and the wait of every process that starts.

Change: a process with a listening socket of its own starts as before this work (spread 3 s, no wait); one that inherits it, as in an upgrade, calls within 0.6 s and waits.

--- a/benchmarks/startup_calls.py
+++ b/benchmarks/startup_calls.py
@@ -14,15 +14,16 @@
 from pathlib import Path
 from statistics import mean, quantiles
 
+from corkshift.service import FIRST_CALL_SPREAD_S
 from forkweir.known import discovery_polling
 from forkweir.known.discovery_polling import PollSchedule
 
 POLL_WITHIN_MS = 10_000.0
 WINDOW_MS = 100.0
-# Fraction of the polling interval and upper bound in ms: until 2026-12-04, and now.
+# Fraction of the polling interval and upper bound in ms.
 SPREADS = {
-    "before": (0.3, 3_000.0),
-    "now": (discovery_polling.INITIAL_WAIT_FRACTION, discovery_polling.MAX_INITIAL_WAIT_MS),
+    "own socket": (discovery_polling.INITIAL_WAIT_FRACTION, discovery_polling.MAX_INITIAL_WAIT_MS),
+    "inherited socket": (1.0, 1000.0 * FIRST_CALL_SPREAD_S),
 }
 
 
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import random
 import signal
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Optional
@@ -36,6 +37,8 @@
 BODY_BYTES_PER_MB = (1 << 20) // 8  # for request bodies, per megabyte of the memory limit
 # Between two checks whether a starting process may serve.
 READINESS_CHECK_S = 0.01
+# First calls of processes that share a listening socket, of a fleet that is upgraded at once.
+FIRST_CALL_SPREAD_S = 0.6
 
 
 class Service:
@@ -168,7 +171,14 @@
             # Lists are pushed to an agent on this machine, so that what it has counts as notified
             # from the start.
             self.discovery.follow()
-        await self._wait_ready(started_ms)
+        elif self._shared_socket:
+            # An earlier process of this node may have been notified of more than the saved list.
+            spread = random.Random(f"first call/{self.config.seed}").random()
+            asyncio.get_running_loop().call_later(
+                FIRST_CALL_SPREAD_S * spread, self.discovery.follow
+            )
+        if self._shared_socket or not self.config.settings.poll_list:
+            await self._wait_ready(started_ms)
         if not self._stop.is_set():
             self.frontend.start()
             if self.peers is not None:
--- a/forkweir/known/discovery_polling.py
+++ b/forkweir/known/discovery_polling.py
@@ -12,9 +12,6 @@
 URGENT_REFILL_MS, so that a service that corrupts every line isn't called faster for it. After that
 a node waits as after any other failure.
 
-A node that starts does not serve before it has a list or its first calls were refused
-(`forkweir.limits.readiness`).
-
 A fleet of N nodes makes at most N * MAX_URGENT_CALLS urgent calls in the first moment, and
 N / URGENT_REFILL_MS from then on.
 
@@ -40,8 +37,8 @@
 BASE_WAIT_FRACTION = 0.05
 MAX_DOUBLINGS = 4
 # Longest wait of a node that starts, as a fraction of the polling interval, and its upper bound.
-INITIAL_WAIT_FRACTION = 0.06
-MAX_INITIAL_WAIT_MS = 600.0
+INITIAL_WAIT_FRACTION = 0.3
+MAX_INITIAL_WAIT_MS = 3_000.0
 URGENT_REFILL_MS = 4_000.0
 MAX_URGENT_CALLS = 2.0
 # Time over which the first urgent calls of a fleet are spread.
--- a/forkweir/limits/readiness.py
+++ b/forkweir/limits/readiness.py
@@ -3,7 +3,8 @@
 A process starts from the saved list of its configuration, which may be older than what this node
 has been notified of: by an earlier process under its name, or by one that still runs beside it (an
 upgrade). A change counts as notified for the node, whichever process learned of it. So a process
-does not serve before discovery has sent it a list, or it has waited for one within these limits:
+that inherits its listening socket, or to which lists are pushed, does not serve before discovery
+has sent it a list, or it has waited for one within these limits:
 
 | discovery | limit |
 |---|---|
