--- a/testbed/nights/takeovers.py
+++ b/testbed/nights/takeovers.py
@@ -26,12 +26,11 @@
 
 import click
 
-from corkshift import seam
+from corkshift import seam, service
 from corkshift.config import load
 from corkshift.seam import Address
 from corkshift.service import Service
 from corkshift.stream import Stream
-from forkweir.known import discovery_polling
 from forkweir.limits.readiness import Readiness
 from testbed.machine.files import SharedFiles
 from testbed.machine.loop import VirtualLoop
@@ -345,16 +344,14 @@
 @contextmanager
 def served_saved_list() -> Iterator[None]:
     """The defect of the incident: a process serves at once, and calls discovery up to 3 s later."""
-    may_serve = Readiness.may_serve
-    names = vars(discovery_polling)
-    before = names["INITIAL_WAIT_FRACTION"], names["MAX_INITIAL_WAIT_MS"]
+    may_serve, spread_s = Readiness.may_serve, service.FIRST_CALL_SPREAD_S
     Readiness.may_serve = lambda *_, **__: True  # type: ignore[method-assign]
-    names["INITIAL_WAIT_FRACTION"], names["MAX_INITIAL_WAIT_MS"] = 0.3, 3_000.0
+    vars(service)["FIRST_CALL_SPREAD_S"] = 3.0
     try:
         yield
     finally:
         Readiness.may_serve = may_serve  # type: ignore[method-assign]
-        names["INITIAL_WAIT_FRACTION"], names["MAX_INITIAL_WAIT_MS"] = before
+        vars(service)["FIRST_CALL_SPREAD_S"] = spread_s
 
 
 def run_seed(seed: int, defect: bool = False) -> Result:
