--- a/benchmarks/path_counts.py
+++ b/benchmarks/path_counts.py
@@ -18,7 +18,6 @@
 import sys
 from collections import Counter
 from collections.abc import Callable
-from contextlib import suppress
 from contextvars import Context
 from pathlib import Path
 from typing import Any, Optional
@@ -206,11 +205,7 @@
     finally:
         for call, original in originals.items():
             setattr(VirtualSocket, call, original)
-        for task in asyncio.all_tasks(loop):
-            task._log_destroy_pending = False  # type: ignore[attr-defined]
-            with suppress(Exception):
-                task.get_coro().close()
-        loop.close()
+        loop.discard()
         asyncio.set_event_loop(None)
 
 
--- a/benchmarks/startup_calls.py
+++ b/benchmarks/startup_calls.py
@@ -15,16 +15,10 @@
 from statistics import mean, quantiles
 
 from corkshift.service import FIRST_CALL_SPREAD_S
-from forkweir.known import discovery_polling
 from forkweir.known.discovery_polling import PollSchedule
 
 POLL_WITHIN_MS = 10_000.0
 WINDOW_MS = 100.0
-# Fraction of the polling interval and upper bound in ms.
-SPREADS = {
-    "own socket": (discovery_polling.INITIAL_WAIT_FRACTION, discovery_polling.MAX_INITIAL_WAIT_MS),
-    "inherited socket": (1.0, 1000.0 * FIRST_CALL_SPREAD_S),
-}
 
 
 def most_in_a_window(times_ms: list[float]) -> int:
@@ -36,20 +30,27 @@
     )
 
 
-def first_calls(nodes: int, draw: int) -> list[float]:
-    """When each node makes its first call, in ms after the common start."""
-    return [
-        PollSchedule(POLL_WITHIN_MS, random.Random(draw * nodes + n)).initial_wait()
-        for n in range(nodes)
-    ]
+def own_socket_call_ms(rng: random.Random) -> float:
+    """When a process with a listening socket of its own makes its first call, in ms."""
+    return PollSchedule(POLL_WITHIN_MS, rng).initial_wait()
+
+
+def inherited_socket_call_ms(rng: random.Random) -> float:
+    """The same for a process that inherits its listening socket."""
+    return 1000.0 * FIRST_CALL_SPREAD_S * rng.random()
+
+
+STARTS = {"own socket": own_socket_call_ms, "inherited socket": inherited_socket_call_ms}
 
 
 def measure(nodes: int, draws: int) -> dict[str, dict[str, float]]:
-    """For each spread: the most calls in a window (mean and 95th percentile), the mean wait."""
+    """For each kind of start: the most calls in a window (mean, 95th percentile), the mean wait."""
     results = {}
-    for name, (fraction, limit_ms) in SPREADS.items():
-        vars(discovery_polling).update(INITIAL_WAIT_FRACTION=fraction, MAX_INITIAL_WAIT_MS=limit_ms)
-        calls = [first_calls(nodes, draw) for draw in range(draws)]
+    for name, call_ms in STARTS.items():
+        calls = [
+            [call_ms(random.Random(draw * nodes + n)) for n in range(nodes)]
+            for draw in range(draws)
+        ]
         most = [float(most_in_a_window(times)) for times in calls]
         results[name] = {
             "most, mean": mean(most),
--- a/corkshift/address_book.py
+++ b/corkshift/address_book.py
@@ -317,15 +317,14 @@
         """The departures that are remembered, by server."""
         return self._departures.items()
 
-    def apply_peer_departure(self, name: str, generation: int, started_ms: float) -> None:
-        """Apply a departure of which another process of this node was notified.
+    def apply_peer_departures(self, generation: int, servers: Iterable[Server]) -> None:
+        """Apply the departures in a line of which another process of this node was notified.
 
-        Ignored where the list of this process is as new. The server is held back until a complete
-        line of this process names it.
+        Ignored where the list of this process is as new. The servers are held back until a complete
+        line of this process names them.
         """
         if self.generation is None or generation > self.generation:
-            server = Server(name, state="draining", started_ms=started_ms)
-            self.apply_unconfirmed([RecoveredEntry(server, None)], generation)
+            self.apply_unconfirmed([RecoveredEntry(server, None) for server in servers], generation)
 
     def _confirm_departure(self, server: Server, generation: int) -> None:
         """Record a departure that a complete line of this generation states."""
--- a/corkshift/discovery.py
+++ b/corkshift/discovery.py
@@ -84,7 +84,6 @@
         self._checked_ms = 0.0  # when all watches were last found to have no unread input
         self.call_counts = dict.fromkeys(CallCause, 0)
         self.failed_calls = 0  # calls that ended before a list had come
-        self.first_list_received = False  # this process has received a complete line
         self._started_ms = now_ms()
         self._last_input_ms: Optional[float] = None  # when discovery last wrote to a watch
         self._next_cause = CallCause.START  # why the next call that the decisions ask for is made
@@ -107,6 +106,11 @@
         self._checked_ms = now_ms()
         return False
 
+    @property
+    def first_list_received(self) -> bool:
+        """Whether a complete line has been applied in this process."""
+        return self.address_book.complete_line_applied
+
     def list_age_ms(self) -> Optional[float]:
         """Time since discovery last wrote to a watch, in ms; None before the first list."""
         if self._last_input_ms is None or not self.first_list_received:
@@ -320,14 +324,14 @@
         gapless = raw.full or not watch.complete_line_received
         watch.complete_line_received = True
         self._changes_lost = False
+        first = not self.first_list_received
         yield from self.address_book.apply_line(raw.generation, raw.full, pairs, gapless)
-        if not self.first_list_received:
+        if first:
             log.info(
                 "first list of this process: generation %d, %.0f ms after the start",
                 raw.generation,
                 now_ms() - self._started_ms,
             )
-        self.first_list_received = True
 
     def _apply_unconfirmed(self, text: bytes) -> None:
         """Apply the removals in a corrupt or partial line, or in a line of a retiring watch."""
--- a/corkshift/handover/observer.py
+++ b/corkshift/handover/observer.py
@@ -10,6 +10,7 @@
 from corkshift.handover.messages import Departure, Drain, Usage
 from corkshift.seam import now_ms
 from corkshift.upstream import Pool
+from forkweir import Server
 
 log = logging.getLogger(__name__)
 
@@ -35,10 +36,12 @@
 
     def on_departures(self, departures: list[Departure]) -> None:
         """See PeerObserver."""
+        by_generation: dict[int, list[Server]] = {}
         for departure in departures:
-            self._discovery.address_book.apply_peer_departure(
-                departure.server, departure.generation, departure.started_ms
-            )
+            server = Server(departure.server, state="draining", started_ms=departure.started_ms)
+            by_generation.setdefault(departure.generation, []).append(server)
+        for generation, servers in by_generation.items():
+            self._discovery.address_book.apply_peer_departures(generation, servers)
 
     def on_drain_call(self, call: Drain) -> None:
         """See PeerObserver."""
--- a/corkshift/handover/peers.py
+++ b/corkshift/handover/peers.py
@@ -89,11 +89,16 @@
         self._next_search_s = 0.0
         self._failing = False  # the last access to the folder failed
 
+    @property
     def other_serves(self) -> bool:
-        """Whether another process of this node accepts clients, as far as it has said."""
-        self._refresh()
+        """Whether another process of this node accepts clients, as of the last poll."""
         return any(peer.state is ProcessState.SERVING for peer in self._peers.values())
 
+    def check_other_serves(self) -> bool:
+        """Search for other processes and read their journals; return whether one serves."""
+        self._refresh()
+        return self.other_serves
+
     def start(self) -> None:
         """Find the other processes, read their journals and create this one's."""
         self._attempt(self._create)
@@ -203,6 +208,11 @@
                 peer.usage = message
             elif isinstance(message, State):
                 peer.state = message.state
+        if messages or not alive:
+            self._report_usage()
+
+    def _report_usage(self) -> None:
+        """Report the sum of the connections of all other processes."""
         self._observer.on_usage(
             Usage(
                 sum(other.usage.clients for other in self._peers.values()),
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -128,7 +128,7 @@
             return None
         peers = Peers(folder, NodeObserver(self.discovery, self.frontend, self.pool))
         self.discovery.address_book.on_departure = peers.on_departure
-        self.frontend.other_accepts = peers.other_serves
+        self.frontend.other_accepts = peers.check_other_serves
         return peers
 
     @property
@@ -231,7 +231,7 @@
             waited_ms=seam.now_ms() - started_ms,
             list_received=self.discovery.first_list_received,
             refused_calls=self.discovery.failed_calls,
-            predecessor_serves=self.peers is not None and self.peers.other_serves(),
+            predecessor_serves=self.peers is not None and self.peers.other_serves,
         ):
             await asyncio.sleep(READINESS_CHECK_S)
 
--- a/tests/handover/test_peers.py
+++ b/tests/handover/test_peers.py
@@ -98,7 +98,7 @@
         old.on_serving()
         old.on_quiesce()
         new.start()
-        assert new.other_serves() and new_observer.calls == [Drain.QUIESCE]
+        assert new.check_other_serves() and new_observer.calls == [Drain.QUIESCE]
         await until(lambda: new_observer.departed == [earlier])
         old.on_departure("s2", 42, 0.0)
         await until(lambda: new_observer.departed == [earlier, later])
@@ -107,7 +107,7 @@
         await until(lambda: old_observer.departed == [Departure("s3", 43, 5.0)])
         await until(lambda: old_observer.calls == [Drain.RESUME] and new_observer.used.servers == 2)
         old.on_ending()
-        assert not new.other_serves()
+        assert not new.check_other_serves()
         old.close()
         await until(lambda: new_observer.used == Usage(0, 0))
         new.close()
@@ -126,7 +126,7 @@
         peers.start()
         assert observer.departed == [MESSAGES[1]]
         # A restart ends an operator's drain, and nobody serves.
-        assert observer.calls == [] and not peers.other_serves()
+        assert observer.calls == [] and not peers.check_other_serves()
         assert not (tmp_path / "0123.journal").exists()
         peers.close()
 
@@ -174,7 +174,7 @@
         )
         old.start()
         new.start()
-        assert not old.other_serves()
+        assert not old.check_other_serves()
         folder.mkdir()
         await until(lambda: bool(old_observer.departed))
         old.close()
