--- a/review/3/case.py
+++ b/review/3/case.py
@@ -29,7 +29,7 @@
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
 SERVERS = 6
-MEMORY_MB = int(os.environ.get("MEMORY_MB", "128"))
+MEMORY_MB = 80
 UNIT_KB = 1024  # the larger reading of "MB"
 DESCRIPTORS = 1024
 # "Clients hold a third of the descriptors at most for requests."
