Review: each case names its record

Need: a reader of a case should see where its record goes. The path of record.txt is given by the case; nothing that is sent, checked or bounded changed.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -172,4 +172,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, FOLDER))
+    sys.exit(run_case(case, FOLDER / "record.txt"))
--- a/review/rig.py
+++ b/review/rig.py
@@ -146,10 +146,10 @@
 
 
 class Record:
-    """The file `record.txt` of a case: a line for each thing sent, answered or run."""
+    """The record of a case: a line for each thing sent, answered or run."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = open(folder / "record.txt", "w")
+    def __init__(self, path: Path) -> None:
+        self._file = open(path, "w")
         self._start = now_ms()
 
     def write(self, text: str) -> None:
@@ -550,12 +550,13 @@
     return (head + "\r\n").encode()
 
 
-def run_case(case: Callable[[Path, Record], Coroutine[Any, Any, bool]], folder: Path) -> int:
+def run_case(case: Callable[[Path, Record], Coroutine[Any, Any, bool]], path: Path) -> int:
     """Run a case; return its exit code: 1 if the rule was broken, 0 if it held, 2 if neither.
 
-    The case gets a temporary folder and its record, and returns whether the rule held.
+    path: of the record. The case gets a temporary folder and its record, and returns whether the
+    rule held.
     """
-    scratch, record = Path(tempfile.mkdtemp(prefix="review-")), Record(folder)
+    scratch, record = Path(tempfile.mkdtemp(prefix="review-")), Record(path)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(case(scratch, record))
