Uploads: the deadline runs from the client's last byte, also behind a server that hangs

Cause: the time of a body too large to buffer began when the node had written its last byte to the server. Until then `Attempt._send_large` had no time limit but STALL_TIMEOUT_S for each write, and the request had no backstop; then `Node.on_fully_sent` gave it its whole time again, so that a server that paused for less than the deadline doubled it. An answer that began early took the limit away as well. But the client's last byte may long have been written: while the node does not read, it lies in the buffers of both machines.

Change: `BodyArrival` (pure) bounds from below when the last byte can have been written: it moves on while the node keeps up with the client and the body is not at its end, stands while reading pauses, and moves on where more is out than buffers can hold. The deadline, the time told to a server, the check before each write, a timer for the attempt and the backstop all read it. An upload that reaches its deadline before its last byte went out ends as "unreachable", so it is refused with 503: it never ran. Requests that fit in a buffer are as before.

Why no work is cut that fits: a client that still writes keeps its time, however long its server pauses, up to the 10 s of before; so does a body that is taken steadily, while more than 4.25 MiB is out.

Tried: taking each read that empties the socket as "the client has not finished". A pause needs 100 ms of reading without backlog now.

Not changed: the head of a large request is written before its body, so it tells the server the time left then, not at the last byte.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -18,6 +18,7 @@
 
 import h11
 
+from corkshift.body_arrival import BodyArrival
 from corkshift.budget import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, BodyBudget, SmallPieceDetector
 from corkshift.listener import Listener
 from corkshift.loop_lag import LoopLagMonitor
@@ -114,6 +115,7 @@
         self._reads = 0  # socket reads made for bodies
         # Parser of a large request whose body is still being forwarded or discarded.
         self._large_body_parser: Optional[h11.Connection] = None
+        self._arrival: Optional[BodyArrival] = None  # of the large body that is being forwarded
         self._stream = Stream(sock)
         self._stream.on_input = self._on_input
         self._reader: Optional[asyncio.Task[None]] = None
@@ -173,6 +175,8 @@
         if self._stream.ended:
             self._cancel_requests()
             self._task.cancel()
+        elif self._arrival is not None:
+            self._arrival.record_read(now_ms(), self._stream.last_read_bytes, self._stream.keeps_up)
 
     def _cancel_requests(self) -> None:
         """Cancel all open requests: their client has left."""
@@ -412,6 +416,10 @@
         """
         # Only the first request of a connection can have waited for the accept.
         queued_ms, self._queued_ms = self._queued_ms, 0.0
+        return self._unread_ms(queued_ms)
+
+    def _unread_ms(self, queued_ms: float = 0.0) -> float:
+        """Return for how long input that is read now may have been unread in the kernel."""
         bound_ms = max(queued_ms, self._frontend.loop_lag.unread_ms())
         if not bound_ms:
             return 0.0
@@ -428,6 +436,14 @@
         read an early response. The cost is the transfer of the whole body.
         """
         body_rest = request.body_rest = BodyPipe()
+        received_bytes = buffered + len(piece) + len(parser.trailing_data[0])
+        self._arrival = request.arrival = BodyArrival(
+            now_ms(),
+            request.length,
+            received_bytes + self._stream.buffered_bytes,
+            self._unread_ms,
+            self._stream.keeps_up,
+        )
         response = self._admit(request, buffered)
         if response is not request.response:
             body_rest.close()  # the request was refused
@@ -460,6 +476,8 @@
             body_rest.fail()
             self._frontend.node.end(request, Response(_error_status(error)))
             return False
+        finally:
+            self._arrival = None
 
     def _release_body(self, request: ClientRequest, buffered: int) -> None:
         request.body.clear()
@@ -473,6 +491,8 @@
                 )
             )
         while (event := parser.next_event()) is h11.NEED_DATA:
+            if self._arrival is not None and not self._stream.has_buffered_input:
+                self._arrival.record_parsed_all()
             parser.receive_data(await self._stream.read())
             self._reads += 1
         return event
--- a/corkshift/messages.py
+++ b/corkshift/messages.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass, field
 from typing import Optional
 
+from corkshift.body_arrival import BodyArrival
 from corkshift.relay import BodyPipe
+from corkshift.seam import now_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,9 +50,11 @@
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
     id: int = 0
+    client_budget_ms: float = 0.0  # how long the client waits from the last byte of its request
     since_ms: float = 0.0  # start of its deadline, on the node's clock
-    deadline_ms: float = 0.0
-    fully_sent: bool = False  # the last byte of a large body has been written
+    deadline_ms: float = 0.0  # see `renew_deadline`
+    # Arrival of a body too large to buffer, on which its deadline depends.
+    arrival: Optional[BodyArrival] = None
     # When the last byte of its first attempt was written: from then on it may have run.
     first_attempt_sent_ms: Optional[float] = None
     # Timer that fails the request some time after its deadline.
@@ -63,3 +67,17 @@
     def open(self) -> bool:
         """Whether the final response is still outstanding."""
         return not self.response.done()
+
+    def renew_deadline(self) -> None:
+        """Move the deadline on as far as the client can't have written its last byte yet.
+
+        Only the deadline of a body too large to buffer moves, until its last byte has been read.
+        """
+        if self.arrival is not None:
+            self.since_ms = self.arrival.not_before_ms(now_ms())
+            self.deadline_ms = self.since_ms + self.client_budget_ms
+
+    def left_ms(self) -> float:
+        """Return how long the client still waits, in ms."""
+        self.renew_deadline()
+        return self.deadline_ms - now_ms()
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -6,7 +6,6 @@
 import logging
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from math import inf
 from typing import TYPE_CHECKING, Optional
 
 from corkshift.config import Config
@@ -42,6 +41,8 @@
 # answer may come 500 ms after the deadline.
 MAX_BACKSTOP_TURNS = 8
 MAX_BACKSTOP_DELAY_MS = 250.0
+# A timer that fires less than this ahead of its time counts as due.
+BACKSTOP_TOLERANCE_MS = 2.0
 
 
 class Node:
@@ -149,10 +150,12 @@
         # The class's deadline bounds what the client announces; otherwise a request could be held
         # for days.
         longest = self._deadlines[request.class_name]
-        budget = longest if request.client_wait_ms is None else min(request.client_wait_ms, longest)
-        if request.body_rest is None:
-            budget -= waited_ms
-        request.since_ms, request.deadline_ms = now - waited_ms, now + budget
+        request.client_budget_ms = (
+            longest if request.client_wait_ms is None else min(request.client_wait_ms, longest)
+        )
+        request.since_ms = now - waited_ms
+        request.deadline_ms = request.since_ms + request.client_budget_ms
+        budget = request.left_ms()
         self._requests[request.id] = request
         self._tries[request.id] = 0
         if budget <= 0.0 or (
@@ -165,8 +168,7 @@
             self.count_refusal("late" if budget <= 0.0 else "behind")
             self._respond(request, self.busy_response)
             return
-        if request.body_rest is None:
-            self._set_backstop(request, budget)
+        self._set_backstop(request, budget)
         self._decide(
             request,
             lambda: self._balancer.on_request(
@@ -223,10 +225,14 @@
     def _on_backstop(self, request: ClientRequest) -> None:
         """Fail a request that is still without a response.
 
-        Where the loop was held up, the end of an attempt whose time limit has passed is handled a
-        few turns later, and decides first.
+        The deadline of a large body may have moved on. Where the loop was held up, the end of an
+        attempt whose time limit has passed is handled a few turns later, and decides first.
         """
-        late_ms = now_ms() - request.deadline_ms - BACKSTOP_MARGIN_MS
+        left_ms = request.left_ms()
+        late_ms = -left_ms - BACKSTOP_MARGIN_MS
+        if late_ms < -BACKSTOP_TOLERANCE_MS:
+            self._set_backstop(request, left_ms)
+            return
         if request.backstop_turns < MAX_BACKSTOP_TURNS and late_ms < MAX_BACKSTOP_DELAY_MS:
             request.backstop_turns += 1
             request.backstop = asyncio.get_running_loop().call_later(
@@ -354,11 +360,7 @@
         n = self._tries[request_id]
         self._tries[request_id] = n + 1
         server = self.servers.get(name)
-        left_ms = (
-            request.deadline_ms - now_ms()
-            if request.body_rest is None or request.fully_sent
-            else request.deadline_ms - request.since_ms
-        )
+        left_ms = request.left_ms()
         within_ms = min(within_ms, left_ms) if within_ms else left_ms
         # A body that is not buffered can be read by one attempt only, and only once.
         body_unavailable = request.body_rest is not None and (
@@ -411,15 +413,16 @@
     def _send_state(
         self, request: ClientRequest, server: CacheServer, announced_ms: int
     ) -> SendState:
-        # The deadline of a large request runs from its last byte.
-        flowing = request.body_rest is not None and not request.fully_sent
+        request.renew_deadline()
         return SendState(
             client_waiting=request.open,
             departure_ms=server.leaving_ms,
             first_sent_ms=request.first_attempt_sent_ms,
             repeat_window_ms=self._windows.get(request.class_name),
-            deadline_ms=inf if flowing else request.deadline_ms,
-            announced_ms=announced_ms,
+            deadline_ms=request.deadline_ms,
+            # The head of a large request is written long before the last byte, and its time is not
+            # announced again.
+            announced_ms=announced_ms if request.arrival is None else 0,
         )
 
     def _on_attempt_done(
@@ -452,14 +455,6 @@
         """See AttemptOwner."""
         self._decide(request, lambda: self._balancer.on_body_consumed(now_ms(), request.id))
 
-    def on_fully_sent(self, request: ClientRequest) -> None:
-        """See AttemptOwner. Restarts the request's deadline and its timer."""
-        if request.id in self._requests:
-            budget = request.deadline_ms - request.since_ms
-            request.since_ms, request.fully_sent = now_ms(), True
-            request.deadline_ms = request.since_ms + budget
-            self._set_backstop(request, budget)
-
     def on_response_started(self, attempt: Attempt, response: Response, cache_result: int) -> bool:
         """See AttemptOwner. Reports a success to the balancer and ends the other attempts."""
         request = attempt.request
--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -81,6 +81,21 @@
         """Whether the buffer holds input; the kernel's buffer is not looked at."""
         return bool(self._in)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes in the read buffer."""
+        return self._buffered_bytes
+
+    @property
+    def last_read_bytes(self) -> int:
+        """The size of the last read, within `on_input`, if that brought bytes."""
+        return len(self._in[-1])
+
+    @property
+    def keeps_up(self) -> bool:
+        """Whether the last read emptied the socket, and input is read as it comes from now on."""
+        return self._reading and not self.last_read_full
+
     @property
     def open_without_input(self) -> bool:
         """Whether the connection is open and has no input, after reading the socket once.
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -248,9 +248,6 @@
     def on_body_consumed(self, request: ClientRequest) -> None:
         """Called when bytes of an unbuffered body are consumed: it can't be sent again."""
 
-    def on_fully_sent(self, request: ClientRequest) -> None:
-        """Called when the last byte of a large request is written; its deadline runs from now."""
-
     def on_response_started(self, attempt: Attempt, response: Response, cache_result: int) -> bool:
         """Called when a response too large to buffer begins; returns whether it is still wanted."""
 
@@ -267,13 +264,14 @@
         owner: AttemptOwner,
     ) -> None:
         self.server = server
-        # For a request too large to buffer, set again when its last byte is written.
+        # For a request too large to buffer, set again when its last byte has been written.
         self._started_ms = pool.loop_lag.active_ms()
         self._pool = pool
         self.request = request
         self._within_ms = within_ms
         self._owner = owner
         self._timeout = asyncio.timeout(within_ms / 1000.0)
+        self._deadline_timer: Optional[asyncio.TimerHandle] = None  # while a large body is sent
         self._response_pipe: Optional[BodyPipe] = None  # passes on a response too large to buffer
         self._stream: Optional[Stream] = None
         # Created only if the response is not in simple form.
@@ -350,7 +348,7 @@
         """Return the request's headers; `size` is its body's length, None if unknown."""
         request = self.request
         if not self._announced_ms:  # computed once, when the head is written
-            self._announced_ms = announced_wait_ms(self._left_ms(), self._client_left_ms())
+            self._announced_ms = announced_wait_ms(self._left_ms(), self.request.left_ms())
         headers = [
             (b"Host", b"%s:%d" % (self.server.address[0].encode(), self.server.address[1])),
             (b"X-Txn", request.txn),
@@ -371,13 +369,6 @@
             self._within_ms if when is None else 1000.0 * (when - asyncio.get_running_loop().time())
         )
 
-    def _client_left_ms(self) -> float:
-        """Return how long the client will still wait; for a large body from its last byte."""
-        request = self.request
-        if request.body_rest is not None and not request.fully_sent:
-            return request.deadline_ms - request.since_ms
-        return request.deadline_ms - now_ms()
-
     def _head(self, parser: h11.Connection, size: Optional[int]) -> bytes:
         """Serialize the request's head with h11."""
         return (
@@ -425,14 +416,36 @@
     async def _send_large(self, stream: Stream) -> bool:
         """Stream a request too large to buffer; return False as `_send` does.
 
-        Raises BodyAborted if the client leaves or stalls. The attempt's time limit runs from the
-        last byte, and is not set again after an early response. Until the last byte, only the time
-        of each write is limited (STALL_TIMEOUT_S); a connection error or a denial
-        (`_check_may_send`) also ends the attempt.
+        Raises BodyAborted if the client leaves or stalls, and TimeoutError at the client's deadline
+        or if the server takes nothing for STALL_TIMEOUT_S. From the last byte on, the attempt's own
+        time limit runs as well.
         """
+        self._timeout.reschedule(None)
+        self._end_at_deadline()
+        try:
+            sent = await self._send_body(stream)
+        finally:
+            assert self._deadline_timer is not None
+            self._deadline_timer.cancel()
+        left_ms = self.request.left_ms()
+        if sent:
+            self._started_ms = self._pool.loop_lag.active_ms()
+            left_ms = min(left_ms, self._within_ms)
+        self._timeout.reschedule(asyncio.get_running_loop().time() + max(0.0, left_ms) / 1000.0)
+        return sent
+
+    def _end_at_deadline(self) -> None:
+        """Time the attempt out at the client's deadline, which moves on while its body comes in."""
+        loop, left_s = asyncio.get_running_loop(), self.request.left_ms() / 1000.0
+        if left_s > 0.0:
+            self._deadline_timer = loop.call_later(left_s, self._end_at_deadline)
+        elif self._timeout.when() is None:
+            self._timeout.reschedule(loop.time())
+
+    async def _send_body(self, stream: Stream) -> bool:
+        """Write head and body of a request too large to buffer; return False as `_send` does."""
         request, body_rest = self.request, self.request.body_rest
         assert body_rest is not None
-        self._timeout.reschedule(None)
         parser = self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         parts = [self._head(parser, request.length)]
         for kept in request.body:
@@ -454,12 +467,7 @@
         async with asyncio.timeout(STALL_TIMEOUT_S):
             if not await stream.write(ahead[:-1], until_input=True):
                 return False
-        if not await self._send_last(stream, ahead[-1:], True):
-            return False
-        self._started_ms = self._pool.loop_lag.active_ms()
-        self._owner.on_fully_sent(request)
-        self._timeout.reschedule(asyncio.get_running_loop().time() + self._within_ms / 1000.0)
-        return True
+        return await self._send_last(stream, ahead[-1:], True)
 
     def _check_may_send(self) -> None:
         """Raise NotSent if the request may not be sent now (`Denial` lists the reasons).
--- a/forkweir/choice.py
+++ b/forkweir/choice.py
@@ -894,8 +894,8 @@
     def on_body_consumed(self, now: float, request_id: int) -> list[Action]:
         """Record that a part of the request's body was sent on and dropped: no retry is possible.
 
-        At the last byte of the body, the node restarts the client's deadline and the attempt's
-        time-out, and enforces both (`Node.on_fully_sent`); this module isn't notified.
+        The client's deadline moves on while its body comes in, and the attempt's time-out starts at
+        the last byte. The node enforces both (`Attempt`); this module isn't notified.
         """
         request = self.held.get(request_id)
         if request is not None:
--- a/tests/testbed/test_hard_cases.py
+++ b/tests/testbed/test_hard_cases.py
@@ -130,8 +130,6 @@
     def on_body_consumed(self, call: ClientRequest) -> None:
         raise AssertionError("the body is held whole")
 
-    on_fully_sent = on_body_consumed
-
     def on_response_started(self, attempt: Attempt, answer: Response, cache_result: int) -> bool:
         raise AssertionError("the answer is held whole")
 
