Bodies on their way share a part of the memory limit, by the size of single reads

Cause, by tracemalloc over 100 answers of 8 MiB: 487 KB each. 124 KB in the server's stream, 188 KB in h11's pieces and copies of them, 127 KB the first part, which `Response.body` and a frame kept to the end. Nothing related any of it to `memory_mb`; uploads had the same.

Change: `TransferBudget`, a quarter of the limit; the more transfers are open, the less is read at once of each (4 KiB at least). The rest waits with the sender, nothing is refused. The first part goes through the queue and is freed once written; pieces are not copied; an answer up to 64 KiB taken slowly is held once; an upload's first 64 KiB go once no retry is possible; a body that is discarded is read by 16 KiB. Writes that the kernel takes at once set no timer.

Tried: a limit of the buffer in place of the read (reads of a few bytes, twice the processor time); an eighth of the limit over all open requests (5.7 s of processor time for 100 uploads of 8 MB, 3.2 before); head and body in two writes (test_path_counts: one send more for 64 KiB).

Open: answers up to 64 KiB to clients that send several requests at once and take them slowly, 340 connections with 12 reads each: 85 MiB at 80 MB (91 before).

--- a/corkshift/budget.py
+++ b/corkshift/budget.py
@@ -1,4 +1,4 @@
-"""Size limits of bodies, and the memory budget of all buffered request bodies."""
+"""Size limits of bodies, and the memory budgets of buffered and of streamed ones."""
 
 from __future__ import annotations
 
@@ -10,6 +10,10 @@
 MIN_AVERAGE_PIECE_BYTES = 16
 # Largest body that is streamed.
 MAX_BODY_BYTES = 1 << 25
+# Pieces of one streamed body that the node holds at most: read, parsed, queued and being written.
+PIECES_PER_TRANSFER = 5
+# Smallest limit of one read, below which each byte would cost too much processor time.
+MIN_READ_BYTES = 4_096
 
 
 class SmallPieceDetector:
@@ -64,3 +68,20 @@
     def release(self, size: int) -> None:
         """Return `size` reserved bytes to the budget."""
         self.used -= size
+
+
+class TransferBudget:
+    """Limits the bytes of messages on their way between sockets, by the size of single reads.
+
+    The more transfers are open, the less is read at once for each of them. The rest waits with the
+    sender (TCP flow control), so that no request has to be refused for it.
+    """
+
+    def __init__(self, limit: int) -> None:
+        """limit: bytes for all open transfers together."""
+        self._limit = limit
+
+    def read_limit(self, most: int, open_transfers: int) -> int:
+        """Return the limit of one read, `most` at most."""
+        share = self._limit // (PIECES_PER_TRANSFER * max(1, open_transfers))
+        return min(most, max(MIN_READ_BYTES, share))
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -50,6 +50,8 @@
 # body.
 REQUEST_TIMEOUT_MS = 2_400.0
 MIN_PROGRESS_BYTES = 16_384
+# Limit of one read of a large body that is discarded, which has no share of the transfer budget.
+DISCARD_READ_BYTES = 16_384
 # A connection that stays idle after a response for this long is closed.
 IDLE_TIMEOUT_MS = 10_000.0
 # Largest share of the client connection limit that idle connections may hold, so that the rest is
@@ -282,12 +284,14 @@
         if self.served or self._pending:
             self.since_ms = now_ms()
         self._frontend.mark_partial(self)
+        self._stream.read_limit = self._frontend.node.read_limit(READ_BYTES)
         parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         parser.receive_data(data)
         while (event := parser.next_event()) is h11.NEED_DATA:
             if not (data := await self._stream.read()):
                 return None
             parser.receive_data(data)
+        del data  # the parser has it; it would be held for the whole of a long body
         assert isinstance(event, h11.Request)
         _check_framing(event)
         if not await self._read_body(parser, event) or parser.their_state is h11.MUST_CLOSE:
@@ -336,9 +340,35 @@
         if request is None and head.method != b"GET":
             raise Rejected(405)
         self.since_ms = now_ms()  # the body has a time limit of its own
+        buffered, body_rest = await self._buffer_body(parser, request)
+        if request is None:
+            self._frontend.body_budget.release(buffered)
+            await self._enqueue(
+                parser,
+                _completed(
+                    Response(200, b"ok\n")
+                    if self._frontend.lifecycle.accepts_clients
+                    else Response(503, b"draining\n")
+                ),
+            )
+        elif body_rest is not None:
+            request.body_rest = body_rest
+            return await self._read_large_body(parser, request, body_rest, buffered)
+        else:
+            await self._enqueue(parser, self._admit(request, buffered))
+        return True
+
+    async def _buffer_body(
+        self, parser: h11.Connection, request: Optional[ClientRequest]
+    ) -> tuple[int, Optional[BodyPipe]]:
+        """Read a body to its end, or until it is too large to buffer.
+
+        Returns the bytes buffered, which are reserved in the body budget, and in the second case a
+        pipe with the first piece that is not buffered. Raises Rejected.
+        """
         body_budget, buffered = self._frontend.body_budget, 0
         try:
-            detector, progress_bytes, unbuffered = SmallPieceDetector(), 0, b""
+            detector, progress_bytes = SmallPieceDetector(), 0
             while not isinstance(event := await self._event(parser), h11.EndOfMessage):
                 if not isinstance(event, h11.Data) or detector.too_small(
                     len(event.data), self._reads
@@ -348,8 +378,9 @@
                 if buffered + piece_bytes > MAX_BUFFERED_BODY_BYTES:
                     if request is None or request.method != b"PUT":
                         raise Rejected(413)
-                    unbuffered = bytes(event.data)
-                    break
+                    body_rest = BodyPipe()
+                    await body_rest.put(event.data)  # it is empty, so this doesn't wait
+                    return buffered, body_rest
                 self._reserve_body(request, piece_bytes)
                 buffered += piece_bytes
                 if buffered - progress_bytes >= MIN_PROGRESS_BYTES:
@@ -359,21 +390,7 @@
         except BaseException:
             body_budget.release(buffered)
             raise
-        if request is None:
-            body_budget.release(buffered)
-            await self._enqueue(
-                parser,
-                _completed(
-                    Response(200, b"ok\n")
-                    if self._frontend.lifecycle.accepts_clients
-                    else Response(503, b"draining\n")
-                ),
-            )
-        elif unbuffered:
-            return await self._read_large_body(parser, request, buffered, unbuffered)
-        else:
-            await self._enqueue(parser, self._admit(request, buffered))
-        return True
+        return buffered, None
 
     def _admit(self, request: ClientRequest, buffered: int) -> asyncio.Future[Response]:
         """Submit a request with `buffered` bytes of body, or refuse it while the node is full.
@@ -427,16 +444,17 @@
         return bound_ms if since_last_receive_ms is None else min(bound_ms, since_last_receive_ms)
 
     async def _read_large_body(
-        self, parser: h11.Connection, request: ClientRequest, buffered: int, piece: bytes
+        self, parser: h11.Connection, request: ClientRequest, body_rest: BodyPipe, buffered: int
     ) -> bool:
         """Submit a request too large to buffer with its first bytes, then forward the rest.
 
-        Forwarding bounds the memory that bodies take. Once no server wants the rest, it is read
-        and discarded: a close over unread input would reset the connection before the client has
-        read an early response. The cost is the transfer of the whole body.
+        body_rest: holds what was read behind the `buffered` bytes. Forwarding bounds the memory
+        that bodies take. Once no server wants the rest, it is read and discarded: a close over
+        unread input would reset the connection before the client has read an early response. The
+        cost is the transfer of the whole body.
         """
-        body_rest = request.body_rest = BodyPipe()
-        received_bytes = buffered + len(piece) + len(parser.trailing_data[0])
+        size, detector, progress_bytes = buffered + body_rest.queued_bytes, SmallPieceDetector(), 0
+        received_bytes = size + len(parser.trailing_data[0])
         self._arrival = request.arrival = BodyArrival(
             now_ms(),
             request.length,
@@ -449,11 +467,9 @@
             body_rest.close()  # the request was refused
         self._large_body_parser = parser
         await self._enqueue(parser, response)
-        size, detector, progress_bytes = buffered + len(piece), SmallPieceDetector(), 0
         loop = asyncio.get_running_loop()
         due = loop.time() + REQUEST_TIMEOUT_MS / 1000.0
         try:
-            await body_rest.put(piece)
             async with asyncio.timeout_at(due) as timeout:
                 while not isinstance(event := await self._event(parser), h11.EndOfMessage):
                     if not isinstance(event, h11.Data) or detector.too_small(
@@ -463,11 +479,16 @@
                     size += len(event.data)
                     if size > MAX_BODY_BYTES:
                         raise Rejected(413)
-                    timeout.reschedule(None)
-                    await body_rest.put(bytes(event.data))
+                    self._stream.read_limit = self._frontend.node.transfer_read_limit(
+                        READ_BYTES if request.open else DISCARD_READ_BYTES
+                    )
+                    if body_rest.queued_bytes:  # waits for the server, not for the client
+                        timeout.reschedule(None)
+                    await body_rest.put(event.data)
                     if size - progress_bytes >= MIN_PROGRESS_BYTES:
                         progress_bytes, due = size, loop.time() + REQUEST_TIMEOUT_MS / 1000.0
-                    timeout.reschedule(due)
+                    if timeout.when() != due:
+                        timeout.reschedule(due)
             body_rest.end()
             self._large_body_parser = None
             self._mark_idle()
@@ -478,6 +499,7 @@
             return False
         finally:
             self._arrival = None
+            self._stream.read_limit = READ_BYTES
 
     def _release_body(self, request: ClientRequest, buffered: int) -> None:
         request.body.clear()
@@ -518,21 +540,27 @@
             self._reader.cancel()
         if response.body_rest is not None:
             return await self._send_large(parser, response, response.body_rest, keep)
-        data = _response_head(response, keep) + response.body
+        head, body = _response_head(response, keep), response.body
         try:
-            sent = self._stream.write_now(data)
-            if sent < len(data):
-                await self._write(data[sent:])
+            sent = self._stream.write_now(head + body)
+            # What is left is written without the copy, which a slow client would keep for long.
+            if sent < len(head):
+                await self._write(head[sent:])
+                sent = len(head)
+            if sent < len(head) + len(body):
+                await self._write(memoryview(body)[sent - len(head) :])
         except BaseException:
             # A response that is cut off must not look complete.
             self._stream.abort()
             raise
         return keep
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes | bytearray | memoryview) -> None:
         """Write bytes to the client; raise TimeoutError after WRITE_TIMEOUT_S."""
-        async with asyncio.timeout(WRITE_TIMEOUT_S):
-            await self._stream.write(data)
+        sent = self._stream.write_now(data)
+        if sent < len(data):
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await self._stream.write(memoryview(data)[sent:])
 
     async def _send_large(
         self, parser: Parser, response: Response, body_rest: BodyPipe, keep: bool
@@ -541,14 +569,15 @@
         # HTTP/1.0 has no chunked coding: there a body of unknown length ends with its connection.
         chunked = response.length is None and parser.their_http_version != b"1.0"
         keep = keep and (chunked or response.length is not None)
-        piece: Optional[bytes] = response.body
         head = _response_head(response, keep, chunked)
         try:
-            while piece is not None:
-                data = b"%x\r\n%b\r\n" % (len(piece), piece) if chunked and piece else piece
-                await self._write(head + data)
-                head = b""
-                piece = await body_rest.get()
+            while (piece := await body_rest.get()) is not None:
+                data = b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece
+                if head:
+                    data, head = head + data, b""
+                del piece  # one copy of it is enough while the client takes it
+                await self._write(data)
+                del data
             if chunked:
                 await self._write(b"0\r\n\r\n")
         except BaseException:
--- a/corkshift/messages.py
+++ b/corkshift/messages.py
@@ -19,7 +19,7 @@
     status: int
     body: bytes = b""
     retry_after_s: float = 0.0
-    # Source of the remaining body if it is too large to buffer; `body` is then its first part.
+    # Source of the body if it is too large to buffer; `body` is empty then.
     body_rest: Optional[BodyPipe] = None
     # Length in bytes of the complete body where `body_rest` is set, None if unknown.
     length: Optional[int] = None
@@ -40,7 +40,8 @@
     work_ms: float
     repeated: bool
     body: list[bytearray] = field(default_factory=list)
-    # Source of the remaining body if it is too large to buffer; `body` is then its first part.
+    # Source of the remaining body if it is too large to buffer; `body` is then its first part, and
+    # is emptied once bytes of the rest have been consumed.
     body_rest: Optional[BodyPipe] = None
     # Content-Length of the request, None if it has none.
     length: Optional[int] = None
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Optional
 
+from corkshift.budget import TransferBudget
 from corkshift.config import Config
 from corkshift.messages import ClientRequest, Response
 from corkshift.seam import Address, now_ms
@@ -43,6 +44,8 @@
 MAX_BACKSTOP_DELAY_MS = 250.0
 # A timer that fires less than this ahead of its time counts as due.
 BACKSTOP_TOLERANCE_MS = 2.0
+# Bytes of messages on their way between sockets, per megabyte of the memory limit.
+TRANSFER_BYTES_PER_MB = (1 << 20) // 4
 
 
 class Node:
@@ -58,6 +61,7 @@
         self._pool = pool
         self._loop_lag = pool.loop_lag
         self._max_open = max_open
+        self._transfer_budget = TransferBudget(config.memory_mb * TRANSFER_BYTES_PER_MB)
         self._balancer = Balancer(config.settings, config.seed)
         self.guard = SendGuard(config.drain_grace_ms)
         self._deadlines = {spec.name: spec.deadline_ms for spec in config.settings.classes}
@@ -77,6 +81,7 @@
         self._tries: dict[int, int] = {}
         # Requests whose response is being streamed: the balancer has nothing more to decide.
         self._streams: dict[int, ClientRequest] = {}
+        self._open_uploads = 0  # requests whose body is too large to buffer
         self._open_ids: set[bytes] = set()  # ids of all open requests, however old
         self._last_id = 0
         self._logged_refusals: dict[str, int] = {}  # refusals by cause at the last log line
@@ -97,6 +102,14 @@
         """The number of accepted requests without a complete response."""
         return len(self._requests) + len(self._streams)
 
+    def read_limit(self, most: int) -> int:
+        """See AttemptOwner. All open requests may have large bodies."""
+        return self._transfer_budget.read_limit(most, self.open)
+
+    def transfer_read_limit(self, most: int) -> int:
+        """See AttemptOwner."""
+        return self._transfer_budget.read_limit(most, len(self._streams) + self._open_uploads)
+
     def join(self, tier: Tier) -> None:
         """Apply this node's shares of the tier-wide limits from now on."""
         from forkweir.tier.balancer_adapter import BalancerAdapter
@@ -157,6 +170,7 @@
         request.deadline_ms = request.since_ms + request.client_budget_ms
         budget = request.left_ms()
         self._requests[request.id] = request
+        self._open_uploads += request.body_rest is not None
         self._tries[request.id] = 0
         if budget <= 0.0 or (
             request.body_rest is None
@@ -340,6 +354,7 @@
             request.backstop.cancel()
         self._open_ids.discard(request.txn)
         if request.body_rest is not None:
+            self._open_uploads -= 1
             request.body_rest.close()
         for n in range(self._tries.pop(request.id, 0)):
             self._end_attempt((request.id, n))
--- a/corkshift/relay.py
+++ b/corkshift/relay.py
@@ -28,6 +28,11 @@
         self._writable: Optional[asyncio.Future[None]] = None
         self._readable: Optional[asyncio.Future[None]] = None
 
+    @property
+    def queued_bytes(self) -> int:
+        """The size of the queued piece, 0 if there is none."""
+        return 0 if self._piece is None else len(self._piece)
+
     # -- producer ------------------------------------------------------------------------
 
     async def put(self, piece: bytes) -> bool:
--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -55,6 +55,7 @@
         self._expired = False
         # The last read reached its limit: more input, and the peer's FIN, may be unread.
         self.last_read_full = False
+        # Limit of one read, and of buffered input at which reading pauses; READ_BYTES at most.
         self.read_limit = READ_BYTES
         self.on_input: Optional[Callable[[], None]] = None  # called when input arrives or ends
         sock.setblocking(False)
@@ -147,7 +148,7 @@
         """Withdraw `expire`: the expected bytes have arrived."""
         self._expired = False
 
-    def write_now(self, data: bytes) -> int:
+    def write_now(self, data: bytes | bytearray | memoryview) -> int:
         """Write what the kernel takes without waiting; return the number of bytes."""
         if self.closed or self.error is not None:
             raise self.error or ConnectionAbortedError("connection is closed")
@@ -161,7 +162,7 @@
             self._end(error)
             raise
 
-    async def write(self, data: bytes | bytearray, until_input: bool = False) -> bool:
+    async def write(self, data: bytes | bytearray | memoryview, until_input: bool = False) -> bool:
         """Write all bytes to the kernel.
 
         With `until_input`, stops and returns False when the peer sends or closes first.
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -248,6 +248,15 @@
     def on_body_consumed(self, request: ClientRequest) -> None:
         """Called when bytes of an unbuffered body are consumed: it can't be sent again."""
 
+    def read_limit(self, most: int) -> int:
+        """Return how much of a message may be read at once, before its length is known.
+
+        most: the upper limit, in bytes.
+        """
+
+    def transfer_read_limit(self, most: int) -> int:
+        """Return how much of a body that is streamed may be read at once, `most` at most."""
+
     def on_response_started(self, attempt: Attempt, response: Response, cache_result: int) -> bool:
         """Called when a response too large to buffer begins; returns whether it is still wanted."""
 
@@ -340,6 +349,7 @@
         self._stream = await self._pool.connect(
             self.server, now_s + LOCAL_RETRY_SHARE * self._within_ms / 1000.0
         )
+        self._stream.read_limit = self._owner.read_limit(READ_BYTES)
         send = self._send if self.request.body_rest is None else self._send_large
         early = not await send(self._stream)
         return await self._receive(early)
@@ -447,27 +457,42 @@
         request, body_rest = self.request, self.request.body_rest
         assert body_rest is not None
         parser = self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        parts = [self._head(parser, request.length)]
-        for kept in request.body:
-            parts += parser.send_with_data_passthrough(h11.Data(data=bytes(kept))) or ()
-        ahead = b"".join(parts)
+        ahead = [self._head(parser, request.length)]
+        for number in range(len(request.body)):
+            ahead += self._body_parts(parser, request.body[number])
         self._check_may_send()
         while (piece := await body_rest.get()) is not None:
             if not request.body_consumed:
                 request.body_consumed = True
+                request.body.clear()  # no retry is possible, so it is not kept while `ahead` waits
                 self._owner.on_body_consumed(request)
             self._any_sent = True
-            async with asyncio.timeout(STALL_TIMEOUT_S):
-                if not await stream.write(ahead, until_input=True):
-                    body_rest.close()
-                    return False
-            ahead = b"".join(parser.send_with_data_passthrough(h11.Data(data=piece)) or ())
-        ahead += parser.send(h11.EndOfMessage()) or b""
-        self._any_sent = True
-        async with asyncio.timeout(STALL_TIMEOUT_S):
-            if not await stream.write(ahead[:-1], until_input=True):
+            if not await self._write_parts(stream, ahead):
+                body_rest.close()
                 return False
-        return await self._send_last(stream, ahead[-1:], True)
+            ahead = self._body_parts(parser, piece)
+        end = b"".join([*ahead, parser.send(h11.EndOfMessage()) or b""])
+        ahead.clear()
+        self._any_sent = True
+        if not await self._write_parts(stream, [end[:-1]]):
+            return False
+        return await self._send_last(stream, end[-1:], True)
+
+    def _body_parts(self, parser: h11.Connection, piece: bytes | bytearray) -> list[bytes]:
+        """Return what is written for a piece of a large body; the piece itself is not copied."""
+        # h11 passes any bytes-like object on as it is.
+        data = h11.Data(data=piece)  # type: ignore[arg-type]
+        return [*(parser.send_with_data_passthrough(data) or ())]
+
+    async def _write_parts(self, stream: Stream, parts: list[bytes]) -> bool:
+        """Write parts of a large body; return False if the server responds meanwhile."""
+        for part in parts:
+            sent = 0 if stream.has_buffered_input or stream.ended else stream.write_now(part)
+            if sent < len(part):
+                async with asyncio.timeout(STALL_TIMEOUT_S):
+                    if not await stream.write(memoryview(part)[sent:], until_input=True):
+                        return False
+        return True
 
     def _check_may_send(self) -> None:
         """Raise NotSent if the request may not be sent now (`Denial` lists the reasons).
@@ -510,6 +535,7 @@
             if not early and (outcome := await self._receive_simple(data)) is not None:
                 return outcome
             self._make_parser().receive_data(data)
+            del data  # the parser has it; it would be held for the whole of a long transfer
         response = await self._event()
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             if not isinstance(response, h11.InformationalResponse):
@@ -528,6 +554,19 @@
         if early:
             raise ConnectionResetError("response with status 200 before the request was complete")
         cache_result = _cache_result(headers)
+        body, complete = await self._buffer_body(length)
+        if complete:
+            return Outcome("success", cache_result, bytes(body))
+        pipe, size = BodyPipe(), len(body)
+        await pipe.put(bytes(body))  # the pipe is empty, so this doesn't wait
+        del body  # held by the pipe alone, so that it is freed once it is written
+        return await self._stream_response(pipe, size, length, cache_result)
+
+    async def _buffer_body(self, length: Optional[int]) -> tuple[bytearray, bool]:
+        """Read a response's body to its end, or until it has to be streamed.
+
+        Returns what was read, and whether it is complete.
+        """
         half_ms = now_ms() + self._within_ms / 2.0
         body, pieces = bytearray(), SmallPieceDetector()
         while isinstance(event := await self._event(), h11.Data):
@@ -539,8 +578,8 @@
                 or (length is not None and length > MAX_BUFFERED_BODY_BYTES)
                 or (length is None and now_ms() > half_ms)
             ):
-                return await self._stream_response(bytes(body), length, cache_result)
-        return Outcome("success", cache_result, bytes(body))
+                return body, False
+        return body, True
 
     async def _receive_simple(self, data: bytes) -> Optional[Outcome]:
         """Return the outcome of a short response in simple form; None leaves `data` to h11."""
@@ -572,23 +611,22 @@
         return data
 
     async def _stream_response(
-        self, body: bytes, length: Optional[int], cache_result: int
+        self, pipe: BodyPipe, size: int, length: Optional[int], cache_result: int
     ) -> Outcome:
-        """Pass on what has been read, then the rest as it arrives.
+        """Pass on the `size` bytes that the pipe holds, then the rest as it arrives.
 
         From here on the response can only be completed or cut off, never replaced.
         """
         assert self._stream is not None
-        pipe = BodyPipe()
         if not self._owner.on_response_started(
-            self, Response(200, body, body_rest=pipe, length=length), cache_result
+            self, Response(200, body_rest=pipe, length=length), cache_result
         ):
             raise NotSent("response no longer wanted")
         self._response_pipe = pipe
         self._timeout.reschedule(None)
-        self._stream.read_limit = LARGE_BODY_READ_BYTES
-        size, pieces = len(body), SmallPieceDetector()
+        pieces = SmallPieceDetector()
         while True:
+            self._stream.read_limit = self._owner.transfer_read_limit(LARGE_BODY_READ_BYTES)
             async with asyncio.timeout(STALL_TIMEOUT_S):
                 event = await self._event()
             if not isinstance(event, h11.Data):
@@ -596,7 +634,7 @@
             size += len(event.data)
             if size > MAX_BODY_BYTES or pieces.too_small(len(event.data), self._reads):
                 raise MalformedResponse("body over the size limit or in too small pieces")
-            if not await pipe.put(bytes(event.data)):
+            if not await pipe.put(event.data):
                 raise ConnectionAbortedError("the client has left")
         pipe.end()
         return Outcome("success", cache_result)
--- /dev/null
+++ b/tests/test_transfer_memory.py
@@ -0,0 +1,152 @@
+"""Memory of bodies on their way between sockets, beside peers that take them slowly."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from loopback import CacheBox, request, run_async
+from test_process import Process, running
+
+from corkshift.budget import MIN_READ_BYTES, PIECES_PER_TRANSFER, TransferBudget
+from testbed.systems.http import Connection, Message
+
+SOCKETS = 256
+# "Clients hold a third of the descriptors at most for requests."
+TRANSFERS = SOCKETS // 3
+MEMORY_MB = 52
+BODY_BYTES = 8 << 20
+HEAD = b"HTTP/1.1 200 OK\r\nX-Found: hit\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES
+# The node's buffers are full by then, while a peer takes nothing.
+SETTLING_S = 1.5
+
+
+class LargeBox(CacheBox):
+    """A box that answers with BODY_BYTES to keys that begin with "large"."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.body = bytes(BODY_BYTES)
+
+    async def serve(self, connection: Connection, request: Message) -> None:
+        if "large" not in request.target:
+            await super().serve(connection, request)
+            return
+        await connection.stream.write(HEAD)
+        await connection.stream.write(self.body)
+
+
+class HangingBox(CacheBox):
+    """A box that reads nothing any more once it hangs."""
+
+    hangs = False
+
+    def hang(self) -> None:
+        """Read nothing from now on, and end the connections that wait for a request."""
+        self.hangs = True
+        for connection in self.connections:
+            connection.stream.abort()
+
+    async def _run(self, connection: Connection) -> None:
+        if self.hangs:
+            await asyncio.get_running_loop().create_future()
+        await super()._run(connection)
+
+
+def peak_memory_mb(pid: int) -> float:
+    """The largest resident memory that a process has had, mapped files included, in MiB."""
+    rows = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(row.split()[1]) / 1024.0 for row in rows if row.startswith("VmHWM:"))
+
+
+async def connect(port: int) -> socket.socket:
+    sock = socket.socket()
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+    return sock
+
+
+async def download(port: int, number: int) -> socket.socket:
+    """Begin a large answer, and take no more than its first bytes."""
+    sock = await connect(port)
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(sock, request(f"large-{number}", path=f"/api/large{number}"))
+    assert (await loop.sock_recv(sock, 1_000)).startswith(b"HTTP/1.1 200")
+    return sock
+
+
+async def upload(port: int, number: int) -> socket.socket:
+    """Send the first 512 KiB of a large body, as far as they are taken in SETTLING_S."""
+    sock = await connect(port)
+    more = f"Content-Length: {BODY_BYTES}\r\n"
+    head = request(f"large-{number}", more, f"/api/large{number}", "order", "PUT")
+    try:
+        async with asyncio.timeout(SETTLING_S):
+            await asyncio.get_running_loop().sock_sendall(sock, head + bytes(512 << 10))
+    except TimeoutError:
+        pass
+    return sock
+
+
+async def discarded_upload(port: int, number: int) -> socket.socket:
+    """Send all of a large body, which no server takes within its client's time."""
+    sock, loop = await connect(port), asyncio.get_running_loop()
+    body = bytes(BODY_BYTES // 4)
+    more = f"Content-Length: {len(body)}\r\n"
+    path = f"/api/large{number}"
+    head = request(f"large-{number}", more, path, "order", "PUT", within_ms=300)
+    await loop.sock_sendall(sock, head + body)
+    assert (await loop.sock_recv(sock, 1_000)).startswith(b"HTTP/1.1 503")
+    return sock
+
+
+async def limit_node(process: Process) -> None:
+    """Start the node's process again with this test's limits."""
+    process.process.kill()
+    await process.process.wait()
+    process.config["limits"] = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    process.write()
+    await process.start()
+    await process.wait_served("limited")
+
+
+@pytest.mark.parametrize("begin", [download, upload, discarded_upload])
+def test_large_bodies_with_slow_peers_stay_within_the_memory_limit(
+    begin: Callable[[int, int], Awaitable[socket.socket]], tmp_path: Path
+) -> None:
+    # Each large answer that a client took slowly held some 430 KB, whatever the limit of memory
+    # was, and each upload more: the node was killed long before its descriptors were used up.
+    async def test() -> None:
+        box = LargeBox() if begin is download else HangingBox()
+        async with running(tmp_path / "config.json", box) as (process, _):
+            await limit_node(process)
+            before_mb = peak_memory_mb(process.process.pid)
+            if isinstance(box, HangingBox):
+                box.hang()
+            socks = await asyncio.gather(*(begin(process.port, n) for n in range(TRANSFERS)))
+            await asyncio.sleep(SETTLING_S)
+            peak_mb = peak_memory_mb(process.process.pid)
+            assert before_mb < peak_mb <= MEMORY_MB
+            for sock in socks:
+                sock.close()
+
+    run_async(test)
+
+
+@given(
+    limit=st.integers(0, 1 << 28),
+    most=st.integers(MIN_READ_BYTES, 1 << 16),
+    transfers=st.integers(0, 1_000),
+)
+def test_reads_of_all_transfers_together_stay_within_the_budget(
+    limit: int, most: int, transfers: int
+) -> None:
+    # Neither few transfers nor many may hold more than their budget, but for the smallest reads.
+    size = TransferBudget(limit).read_limit(most, transfers)
+    assert MIN_READ_BYTES <= size <= most
+    assert size == MIN_READ_BYTES or PIECES_PER_TRANSFER * transfers * size <= limit
--- a/tests/testbed/test_hard_cases.py
+++ b/tests/testbed/test_hard_cases.py
@@ -130,6 +130,11 @@
     def on_body_consumed(self, call: ClientRequest) -> None:
         raise AssertionError("the body is held whole")
 
+    def read_limit(self, most: int) -> int:
+        return most
+
+    transfer_read_limit = read_limit
+
     def on_response_started(self, attempt: Attempt, answer: Response, cache_result: int) -> bool:
         raise AssertionError("the answer is held whole")
 
