Uploads: time in the accept queue counts, and a server that takes a body is not at fault

An upload that waited in the accept queue got its whole time when it was read: `submit` left that time out for bodies too large to buffer. And an upload that reaches its deadline now ended as "unreachable" at its server, also where the server had taken it all along and the node or the client's time was short, which would have put sound servers out.

Change: the first bound of `BodyArrival` leaves out what the request may have waited unread; TCP_INFO is not asked there, as the rest of a body may have come only after the wait. An attempt whose server took a part within the last 0.5 s ends as "void".

--- a/corkshift/body_arrival.py
+++ b/corkshift/body_arrival.py
@@ -43,19 +43,20 @@
 
     def __init__(
         self,
-        now: float,
+        not_before_ms: float,
         length: Optional[int],
         received_bytes: int,
         unread_ms: Callable[[], float],
         keeps_up: bool = True,
     ) -> None:
-        """length: of the body, None if it is unknown. received_bytes: how much of it was read from
-        the socket. unread_ms: returns how long input that is read now may have been unread.
-        keeps_up: the last read emptied the socket, and input is read as it comes.
+        """not_before_ms: the first bound. length: of the body, None if it is unknown.
+        received_bytes: how much of it was read from the socket. unread_ms: returns how long input
+        that is read now may have been unread. keeps_up: the last read emptied the socket, and input
+        is read as it comes.
         """
         self._length = length
         self._unread_ms = unread_ms
-        self._bound_ms = now - unread_ms()
+        self._bound_ms = not_before_ms
         self._received_bytes = received_bytes
         # Since when each read has emptied the socket with no pause in reading; None while not.
         self._keeping_up_since_ms: Optional[float] = -inf if keeps_up else None
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -455,8 +455,10 @@
         """
         size, detector, progress_bytes = buffered + body_rest.queued_bytes, SmallPieceDetector(), 0
         received_bytes = size + len(parser.trailing_data[0])
+        # What waited in the kernel may have filled its buffer, so that the rest came only now.
+        waited_ms = max(self._queued_ms, self._frontend.loop_lag.unread_ms())
         self._arrival = request.arrival = BodyArrival(
-            now_ms(),
+            now_ms() - waited_ms,
             request.length,
             received_bytes + self._stream.buffered_bytes,
             self._unread_ms,
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -30,6 +30,8 @@
 LARGE_BODY_READ_BYTES = 32_768
 # A server that sends or reads nothing of a large body for this long fails the attempt.
 STALL_TIMEOUT_S = 10.0
+# A server that has taken nothing of a large body for this long is at fault if its time runs out.
+SERVER_STALL_S = 0.5
 VERSION_PREFIX = b"HTTP/1."
 # A connection is not reused after this share of the servers' idle timeout.
 IDLE_TIMEOUT_SHARE = 0.7
@@ -281,6 +283,7 @@
         self._owner = owner
         self._timeout = asyncio.timeout(within_ms / 1000.0)
         self._deadline_timer: Optional[asyncio.TimerHandle] = None  # while a large body is sent
+        self._body_progress_s = 0.0  # when the server last took a part of a large body
         self._response_pipe: Optional[BodyPipe] = None  # passes on a response too large to buffer
         self._stream: Optional[Stream] = None
         # Created only if the response is not in simple form.
@@ -320,11 +323,7 @@
             # request never ran.
             outcome, cause = Outcome("void"), str(error)
         except TimeoutError as error:
-            # Until its last byte has been written, a request cannot have run.
-            outcome, cause = (
-                Outcome("timed_out" if self._all_sent else "unreachable"),
-                str(error) or "timeout",
-            )
+            outcome, cause = Outcome(self._timeout_status()), str(error) or "timeout"
         except (h11.RemoteProtocolError, MalformedResponse) as error:
             # After the complete request, the server's response is malformed, which the balancer
             # distinguishes from a broken connection. Before, the request cannot have run.
@@ -339,6 +338,17 @@
             self._release()
         return outcome
 
+    def _timeout_status(self) -> str:
+        """Return the outcome's status at the end of the time.
+
+        Until its last byte has been written, a request cannot have run. A server that has been
+        taking its body is not at fault.
+        """
+        if self._all_sent:
+            return "timed_out"
+        stalled_s = asyncio.get_running_loop().time() - self._body_progress_s
+        return "unreachable" if stalled_s > SERVER_STALL_S else "void"
+
     def abort(self) -> None:
         """Reset the connection now, so that nothing more of the request is sent."""
         if self._stream is not None:
@@ -492,6 +502,7 @@
                 async with asyncio.timeout(STALL_TIMEOUT_S):
                     if not await stream.write(memoryview(part)[sent:], until_input=True):
                         return False
+            self._body_progress_s = asyncio.get_running_loop().time()
         return True
 
     def _check_may_send(self) -> None:
--- a/tests/test_upload_deadlines.py
+++ b/tests/test_upload_deadlines.py
@@ -9,6 +9,7 @@
 import pytest
 from loopback import CacheBox, request, rig, run_async, status, until
 
+from corkshift.body_arrival import MAX_UNREAD_BYTES
 from corkshift.budget import MAX_BODY_BYTES
 from testbed.systems.http import Connection, Message
 
@@ -137,6 +138,39 @@
     run_async(test)
 
 
+def test_a_server_that_has_been_taking_an_upload_is_not_at_fault_for_its_time() -> None:
+    # A node short of processor time must not put out the servers that its uploads go to.
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        body = bytes(MAX_UNREAD_BYTES)
+        async with rig({"s0": PacedBox(len(body) / (4.0 * LATEST_S))}) as made:
+            with await connect(made.port) as sock:
+                await send_large(sock, upload_head(len(body)) + body)
+                answer, passed_s = await answer_after(sock, loop.time())
+                assert answer == 503 and passed_s <= LATEST_S
+                assert made.metrics.attempt_outcomes["void"] == 1
+
+    run_async(test)
+
+
+def test_an_upload_counts_the_time_for_which_it_waited_to_be_accepted() -> None:
+    # A node without a free descriptor accepts late; the client's time runs meanwhile.
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with rig({"s0": PausingBox()}, clients=1) as made:
+            with await connect(made.port) as first, await connect(made.port) as sock:
+                # An open request holds the only place.
+                await send_large(first, request("b", class_name="pay", within_ms=20_000))
+                await until(lambda: made.node.open == 1)
+                await send_large(sock, upload_head(len(BODY)) + BODY)
+                since_s = loop.time()
+                loop.call_later(0.75 * WAIT_MS / 1000.0, first.shutdown, socket.SHUT_RDWR)
+                answer, passed_s = await answer_after(sock, since_s)
+                assert answer == 503 and passed_s <= LATEST_S
+
+    run_async(test)
+
+
 def test_an_upload_whose_server_sends_part_of_an_early_answer_ends_by_its_deadline() -> None:
     # An answer that begins before the last byte of the request took the time limit away.
     class EarlyBox(PausingBox):
