--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any
@@ -25,6 +26,7 @@
 
 __all__ = [
     "CacheBox",
+    "connect_socket",
     "ScriptedDiscovery",
     "Rig",
     "entry",
@@ -126,6 +128,14 @@
         writer.transport.abort()
 
 
+async def connect_socket(port: int) -> socket.socket:
+    """Connect a non-blocking socket, whose buffers are the kernel's alone, to a port."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+    return sock
+
+
 class ScriptedDiscovery(emulators.DiscoveryServer):
     """Emulated discovery that lists the given boxes; tests change its list."""
 
--- a/tests/test_transfer_memory.py
+++ b/tests/test_transfer_memory.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from loopback import CacheBox, request, run_async
+from loopback import CacheBox, connect_socket, request, run_async
 from test_process import Process, running
 
 from corkshift.budget import MIN_READ_BYTES, PIECES_PER_TRANSFER, TransferBudget
@@ -64,16 +64,9 @@
     return next(int(row.split()[1]) / 1024.0 for row in rows if row.startswith("VmHWM:"))
 
 
-async def connect(port: int) -> socket.socket:
-    sock = socket.socket()
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
-    return sock
-
-
 async def download(port: int, number: int) -> socket.socket:
     """Begin a large answer, and take no more than its first bytes."""
-    sock = await connect(port)
+    sock = await connect_socket(port)
     loop = asyncio.get_running_loop()
     await loop.sock_sendall(sock, request(f"large-{number}", path=f"/api/large{number}"))
     assert (await loop.sock_recv(sock, 1_000)).startswith(b"HTTP/1.1 200")
@@ -82,7 +75,7 @@
 
 async def upload(port: int, number: int) -> socket.socket:
     """Send the first 512 KiB of a large body, as far as they are taken in SETTLING_S."""
-    sock = await connect(port)
+    sock = await connect_socket(port)
     more = f"Content-Length: {BODY_BYTES}\r\n"
     head = request(f"large-{number}", more, f"/api/large{number}", "order", "PUT")
     try:
@@ -95,7 +88,7 @@
 
 async def discarded_upload(port: int, number: int) -> socket.socket:
     """Send all of a large body, which no server takes within its client's time."""
-    sock, loop = await connect(port), asyncio.get_running_loop()
+    sock, loop = await connect_socket(port), asyncio.get_running_loop()
     body = bytes(BODY_BYTES // 4)
     more = f"Content-Length: {len(body)}\r\n"
     path = f"/api/large{number}"
--- a/tests/test_upload_deadlines.py
+++ b/tests/test_upload_deadlines.py
@@ -7,7 +7,7 @@
 import socket
 
 import pytest
-from loopback import CacheBox, request, rig, run_async, status, until
+from loopback import CacheBox, connect_socket, request, rig, run_async, status, until
 
 from corkshift.body_arrival import MAX_UNREAD_BYTES
 from corkshift.budget import MAX_BODY_BYTES
@@ -73,13 +73,6 @@
     )
 
 
-async def connect(port: int) -> socket.socket:
-    sock = socket.socket()
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
-    return sock
-
-
 async def send_large(sock: socket.socket, data: bytes) -> None:
     await asyncio.get_running_loop().sock_sendall(sock, data)
 
@@ -102,7 +95,7 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         async with rig({"s0": PausingBox()}) as made:
-            with await connect(made.port) as sock:
+            with await connect_socket(made.port) as sock:
                 if framing == "sized":
                     data = upload_head(len(BODY)) + BODY
                 else:
@@ -127,7 +120,7 @@
         loop = asyncio.get_running_loop()
         box = PausingBox(answers=False)
         async with rig({"s0": box}) as made:
-            with await connect(made.port) as sock:
+            with await connect_socket(made.port) as sock:
                 await send_large(sock, upload_head(len(BODY)) + BODY)
                 since_s = loop.time()
                 loop.call_later(0.75 * WAIT_MS / 1000.0, box.go.set)
@@ -144,7 +137,7 @@
         loop = asyncio.get_running_loop()
         body = bytes(MAX_UNREAD_BYTES)
         async with rig({"s0": PacedBox(len(body) / (4.0 * LATEST_S))}) as made:
-            with await connect(made.port) as sock:
+            with await connect_socket(made.port) as sock:
                 await send_large(sock, upload_head(len(body)) + body)
                 answer, passed_s = await answer_after(sock, loop.time())
                 assert answer == 503 and passed_s <= LATEST_S
@@ -158,7 +151,7 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         async with rig({"s0": PausingBox()}, clients=1) as made:
-            with await connect(made.port) as first, await connect(made.port) as sock:
+            with await connect_socket(made.port) as first, await connect_socket(made.port) as sock:
                 # An open request holds the only place.
                 await send_large(first, request("b", class_name="pay", within_ms=20_000))
                 await until(lambda: made.node.open == 1)
@@ -181,7 +174,7 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         async with rig({"s0": EarlyBox()}) as made:
-            with await connect(made.port) as sock:
+            with await connect_socket(made.port) as sock:
                 await send_large(sock, upload_head(len(BODY)) + BODY)
                 answer, passed_s = await answer_after(sock, loop.time())
                 assert answer == 503 and passed_s <= LATEST_S
@@ -195,7 +188,7 @@
         loop = asyncio.get_running_loop()
         box = PausingBox()
         async with rig({"s0": box}) as made:
-            with await connect(made.port) as sock:
+            with await connect_socket(made.port) as sock:
                 first = BODY[: 80 * 1024]  # over the limit for buffering, and read by the node
                 await send_large(sock, upload_head(len(BODY)) + first)
                 await until(lambda: made.node.open == 1)
@@ -215,7 +208,7 @@
         body = bytes(MAX_BODY_BYTES)
         box = PacedBox(MAX_BODY_BYTES / 2.0)  # 2 s for all of it
         async with rig({"s0": box}) as made:
-            with await connect(made.port) as sock:
+            with await connect_socket(made.port) as sock:
                 began_s = loop.time()
                 await send_large(sock, upload_head(len(body)) + body)
                 answer, passed_s = await answer_after(sock, loop.time())
