Start: a process that finds no socket free waits for one instead of ending

Cause: the listening sockets are opened once at the start, with no second try, while connects and accepts are retried.

Change: before it opens its sockets, a process waits until one can be opened, 10 s at most, trying every 50 ms; errors that are no shortage of this machine end it at once as before. It does not reserve what it found, so a shortage that begins just then still ends the start.

--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -19,6 +19,7 @@
 from corkshift.loop_lag import LoopLagMonitor
 from corkshift.metrics import Metrics
 from corkshift.node import Node
+from corkshift.seam.errors import LOCAL_ERRNOS, error_name
 from corkshift.stream import KERNEL_BUFFER_BYTES
 from corkshift.upstream import Pool
 from forkweir.limits.lifecycle import ShutdownSchedule
@@ -39,6 +40,10 @@
 READINESS_CHECK_S = 0.01
 # First calls of processes that share a listening socket, of a fleet that is upgraded at once.
 FIRST_CALL_SPREAD_S = 0.6
+# A process that starts while this machine is short of sockets tries again at this interval, and
+# gives up after the wait below.
+SOCKET_RETRY_S = 0.05
+MAX_SOCKET_WAIT_S = 10.0
 
 
 class Service:
@@ -279,4 +284,23 @@
 
     The parameters are those of `Service`.
     """
+    await _wait_for_sockets()
     await Service(config, sources, reread_sources, tier).run()
+
+
+async def _wait_for_sockets() -> None:
+    """Wait while this machine has no descriptor or memory for a socket.
+
+    Raises OSError after MAX_SOCKET_WAIT_S, or for another reason at once.
+    """
+    loop = asyncio.get_running_loop()
+    give_up_s = loop.time() + MAX_SOCKET_WAIT_S
+    while True:
+        try:
+            seam.tcp_socket().close()
+            return
+        except OSError as error:
+            if error.errno not in LOCAL_ERRNOS or loop.time() >= give_up_s:
+                raise
+            log.warning("cannot open a socket yet: %s", error_name(error))
+        await asyncio.sleep(SOCKET_RETRY_S)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -96,6 +96,26 @@
     await asyncio.sleep(0.02)
 
 
+@pytest.mark.parametrize("error", SOCKET, ids=lambda error: errno.errorcode[error])
+def test_a_process_that_starts_while_sockets_fail_serves_once_they_can_be_opened(
+    tmp_path: Path, library: Path, error: int
+) -> None:
+    # It ended with exit code 1 ("cannot listen"), so that a short shortage took the node away.
+    async def test() -> None:
+        async with shimmed(tmp_path, library, CacheBox()) as (process, _, shim):
+            process.process.kill()
+            await process.process.wait()
+            shim.fail(SystemCall.SOCKET, error)
+            before = shim.failure_count(SystemCall.SOCKET)
+            await process.start()
+            await until(lambda: shim.failure_count(SystemCall.SOCKET) >= before + 3)
+            shim.restore(SystemCall.SOCKET)
+            await process.wait_served("again")
+            assert process.process.returncode is None
+
+    run_async(test)
+
+
 @pytest.mark.parametrize("for_s", [0.05, 0.4])
 @pytest.mark.parametrize(
     ("call", "error"),
