Test of local connect failures: the fault lasts from the first failed call on

Cause: the fault of 50 ms ran from the moment at which the test set it, not from the node's first call; on a busy machine it was over before. With the fault taken back at once the test fails in the same way.

Change: the fault ends for_s after the first failed call, so it lasts at least as long as before; all assertions stay.

Measured: 18 cases pass.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -96,6 +96,13 @@
     await asyncio.sleep(0.02)
 
 
+async def end_after_first_failure(shim: Shim, call: SystemCall, for_s: float) -> None:
+    """Let a call succeed again `for_s` after it has first failed."""
+    await until(lambda: shim.failure_count(call) > 0)
+    await asyncio.sleep(for_s)
+    shim.restore(call)
+
+
 @pytest.mark.parametrize("error", SOCKET, ids=lambda error: errno.errorcode[error])
 def test_a_process_that_starts_while_sockets_fail_serves_once_they_can_be_opened(
     tmp_path: Path, library: Path, error: int
@@ -139,8 +146,9 @@
         async with shimmed(tmp_path, library, box) as (process, _, shim):
             await drop_idle(process, box)
             shim.fail(call, error)
-            asyncio.get_running_loop().call_later(for_s, shim.restore, call)
+            ending = asyncio.create_task(end_after_first_failure(shim, call, for_s))
             assert await ask_all(process, "a") == [200] * 12
+            await ending
             assert shim.failure_count(call) > 0
             counts = await figures(process)
             assert counts[f"svc.local_errors.{errno.errorcode[error]}"] > 0
