Figures and log lines of memory, of answers that were cut off and of clients that left

Change: /admin/stats has svc.memory.* (the process, buffered bodies, transfers, client connections), svc.cut.OUTCOME and svc.left; over three quarters of its limit a node logs its memory each second with what takes it; each answer that is cut off is logged with id, server, bytes and cause. The seam reads the memory from /proc/self/statm; the simulated system knows none.

--- a/corkshift/admin/status.py
+++ b/corkshift/admin/status.py
@@ -98,6 +98,12 @@
         ]
         rows.append(f"{METRIC_PREFIX}.sends.before_first_list={metrics.sends_before_first_list}")
         rows.append(f"{METRIC_PREFIX}.violations.no_decision={metrics.backstop_answers}")
+        rows += [
+            f"{METRIC_PREFIX}.cut.{status}={count}"
+            for status, count in sorted(metrics.cut_answers.items())
+        ]
+        rows.append(f"{METRIC_PREFIX}.left={metrics.departed_clients}")
+        rows += self._memory_rows()
         loop_lag = self.frontend.loop_lag
         bounds = [f"{upper:g}" for upper in STALL_BUCKETS_MS] + ["more"]
         rows += [
@@ -109,3 +115,13 @@
             f"{METRIC_PREFIX}.loop.turn_ms={loop_lag.smoothed_lag_ms:.0f}",
         ]
         return "\n".join(rows) + "\n"
+
+    def _memory_rows(self) -> list[str]:
+        """The process's memory and what takes most of it."""
+        usage = self.frontend.memory_usage()
+        return [
+            f"{METRIC_PREFIX}.memory.process_bytes={usage.process_bytes or 0}",
+            f"{METRIC_PREFIX}.memory.buffered_bytes={usage.buffered_bytes}",
+            f"{METRIC_PREFIX}.memory.transfers={usage.transfers}",
+            f"{METRIC_PREFIX}.memory.clients={usage.clients}",
+        ]
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -12,12 +12,14 @@
 import re
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from http import HTTPStatus
 from math import ceil
 from typing import Optional
 
 import h11
 
+from corkshift import seam
 from corkshift.body_arrival import BodyArrival
 from corkshift.budget import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, BodyBudget, SmallPieceDetector
 from corkshift.listener import Listener
@@ -61,6 +63,10 @@
 SWEEP_INTERVAL_S = 0.2
 # At the connection limit, a new connection that has sent nothing for this long may be evicted.
 EVICTION_GRACE_MS = 100.0
+# Memory is checked at this interval, and logged while it is over this share of the limit.
+MEMORY_CHECK_INTERVAL_MS = 1_000.0
+MEMORY_LOG_SHARE = 0.75
+MIB = 1 << 20
 # Wait during a shutdown in which the connections accepted last deliver their first bytes.
 LAST_READ_DELAY_S = 0.02
 
@@ -94,6 +100,20 @@
         self.status = status
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryUsage:
+    """What a node's memory is used for.
+
+    process_bytes: of the whole process, without mapped files, None if unknown. buffered_bytes: of
+    buffered request bodies. transfers: bodies that are streamed, in either direction.
+    """
+
+    process_bytes: Optional[int]
+    buffered_bytes: int
+    transfers: int
+    clients: int
+
+
 class ClientConnection:
     """One client connection: reads pipelined requests ahead and answers them in order."""
 
@@ -616,6 +636,7 @@
         # Whether another process accepts what waits in the queue of the listening socket.
         self.other_accepts: Callable[[], bool] = lambda: shared
         self._limit = limit
+        self._memory_checked_ms = 0.0
         self._connections: dict[ClientConnection, None] = {}  # oldest first
         # Connections without an open request, in the order in which they were added. That is about
         # longest wait first, but not in `_partial`, where progress of a body renews `since_ms`.
@@ -645,6 +666,34 @@
             f"{len(self._connections)} client connections open"
         )
 
+    def memory_usage(self) -> MemoryUsage:
+        """The process's memory and what takes most of it."""
+        return MemoryUsage(
+            seam.memory_bytes(),
+            self.body_budget.used,
+            self.node.open_transfers,
+            self.connection_count,
+        )
+
+    def _report_memory(self, now: float) -> None:
+        """Log the memory while it is over MEMORY_LOG_SHARE of the limit."""
+        if now - self._memory_checked_ms < MEMORY_CHECK_INTERVAL_MS:
+            return
+        self._memory_checked_ms = now
+        usage = self.memory_usage()
+        limit = self.node.memory_limit_bytes
+        if usage.process_bytes is not None and usage.process_bytes > MEMORY_LOG_SHARE * limit:
+            log.warning(
+                "memory: %.1f of %.1f MiB; %d client connections, %d requests open, %d bytes of "
+                "bodies buffered, %d transfers",
+                usage.process_bytes / MIB,
+                limit / MIB,
+                usage.clients,
+                self.node.open,
+                usage.buffered_bytes,
+                usage.transfers,
+            )
+
     @property
     def connection_count(self) -> int:
         """The number of open client connections."""
@@ -761,6 +810,7 @@
                     break
                 connection.close_if_no_input(cause)
         self._close_surplus(now)
+        self._report_memory(now)
         for connection in [c for c in self._connections if c.reading_paused]:
             connection.check_departure()
         for connection in list(self._partial):
--- a/corkshift/metrics.py
+++ b/corkshift/metrics.py
@@ -49,6 +49,8 @@
         "sends_by_list_age",
         "backstop_answers",
         "sends_before_first_list",
+        "cut_answers",
+        "departed_clients",
     )
 
     def __init__(self, classes: Iterable[str]) -> None:
@@ -66,6 +68,9 @@
         # for older lists.
         self.sends_by_list_age = [0] * (len(LIST_AGE_BUCKETS_MS) + 1)
         self.sends_before_first_list = 0
+        # Answers that were cut off after their first bytes had been passed on, by outcome.
+        self.cut_answers: Counter[str] = Counter()
+        self.departed_clients = 0  # requests whose client left before their answer was complete
         self.backstop_answers = 0  # requests that no decision answered by their deadline
 
     def count_send(self, list_age_ms: Optional[float]) -> None:
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -61,6 +61,7 @@
         self._pool = pool
         self._loop_lag = pool.loop_lag
         self._max_open = max_open
+        self.memory_limit_bytes = config.memory_mb << 20
         self._transfer_budget = TransferBudget(config.memory_mb * TRANSFER_BYTES_PER_MB)
         self._balancer = Balancer(config.settings, config.seed)
         self.guard = SendGuard(config.drain_grace_ms)
@@ -108,7 +109,12 @@
 
     def transfer_read_limit(self, most: int) -> int:
         """See AttemptOwner."""
-        return self._transfer_budget.read_limit(most, len(self._streams) + self._open_uploads)
+        return self._transfer_budget.read_limit(most, self.open_transfers)
+
+    @property
+    def open_transfers(self) -> int:
+        """The number of bodies that are streamed, in either direction."""
+        return len(self._streams) + self._open_uploads
 
     def join(self, tier: Tier) -> None:
         """Apply this node's shares of the tier-wide limits from now on."""
@@ -202,6 +208,8 @@
         """Cancel a request whose client has left; nothing more is sent for it."""
         if request.open:
             request.response.cancel()
+        if request.id in self._requests or request.id in self._streams:
+            self.metrics.departed_clients += 1
         if self._requests.pop(request.id, None) is not None:
             self._close(request)
             self._decide(None, lambda: self._balancer.on_departure(now_ms(), request.id))
@@ -464,8 +472,24 @@
             self.metrics.count_response(
                 request.class_name, 200 if outcome.status == "success" else 502
             )
+            if outcome.status != "success":
+                self._record_cut_answer(request, attempt, outcome)
         attempt.abort_response()
 
+    def _record_cut_answer(
+        self, request: ClientRequest, attempt: Attempt, outcome: Outcome
+    ) -> None:
+        """Count and log an answer that its client gets incomplete."""
+        self.metrics.cut_answers[outcome.status] += 1
+        log.info(
+            "answer to request %s from %s was cut off after %d bytes: %s (%s)",
+            request.txn.decode(),
+            attempt.server.name,
+            attempt.streamed_bytes,
+            outcome.status,
+            attempt.cause,
+        )
+
     def on_body_consumed(self, request: ClientRequest) -> None:
         """See AttemptOwner."""
         self._decide(request, lambda: self._balancer.on_body_consumed(now_ms(), request.id))
--- a/corkshift/seam/__init__.py
+++ b/corkshift/seam/__init__.py
@@ -34,6 +34,7 @@
 # tcpi_state: TCP_ESTABLISHED and TCP_CLOSE_WAIT (include/net/tcp_states.h).
 _READABLE_STATES = {1, 8}
 _TCP_INFO_SIZE = _LAST_DATA_RECEIVED.size
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 # POLLRDHUP reports the end of the stream even while received data is still unread.
 _CLOSED_BY_PEER_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
 
@@ -111,6 +112,10 @@
         """
         ...
 
+    def memory_bytes(self) -> Optional[int]:
+        """Memory of this process in bytes, without mapped files; None where it is unknown."""
+        ...
+
     def random_bytes(self, size: int) -> bytes:
         """`size` cryptographically secure random bytes."""
         ...
@@ -182,6 +187,13 @@
 
         return shared_folder(os.environ, name)
 
+    def memory_bytes(self) -> Optional[int]:
+        try:
+            resident, shared = Path("/proc/self/statm").read_text().split()[1:3]
+        except (OSError, ValueError):
+            return None
+        return (int(resident) - int(shared)) * _PAGE_BYTES
+
     def random_bytes(self, size: int) -> bytes:
         return os.urandom(size)
 
@@ -264,6 +276,11 @@
     return CURRENT_SYSTEM.get().journal_folder(name)
 
 
+def memory_bytes() -> Optional[int]:
+    """Memory of this process in bytes, without mapped files; None where it is unknown."""
+    return CURRENT_SYSTEM.get().memory_bytes()
+
+
 def random_bytes(size: int) -> bytes:
     """`size` cryptographically secure random bytes."""
     return CURRENT_SYSTEM.get().random_bytes(size)
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -294,6 +294,8 @@
         self._announced_ms = 0  # remaining time announced to the server
         # The simple response is complete, with no bytes behind it.
         self._response_complete = False
+        self.cause = ""  # why the attempt failed, in short; empty if it did not
+        self.streamed_bytes = 0  # of the body of a response too large to buffer
         self._any_sent = False  # a byte of the request may have been sent
         self._all_sent = False  # all of its bytes have been written
 
@@ -334,6 +336,7 @@
                 error_name(error),
             )
         finally:
+            self.cause = cause
             self._pool.metrics.count_attempt(outcome.status, self.server.name, cause)
             self._release()
         return outcome
@@ -631,6 +634,7 @@
         ):
             raise NotSent("response no longer wanted")
         self._response_pipe = pipe
+        self.streamed_bytes = size
         self._timeout.reschedule(None)
         pieces = SmallPieceDetector()
         while True:
@@ -639,8 +643,10 @@
                 event = await self._event()
             if not isinstance(event, h11.Data):
                 break
-            size += len(event.data)
-            if size > MAX_BODY_BYTES or pieces.too_small(len(event.data), self._reads):
+            self.streamed_bytes += len(event.data)
+            if self.streamed_bytes > MAX_BODY_BYTES or pieces.too_small(
+                len(event.data), self._reads
+            ):
                 raise MalformedResponse("body over the size limit or in too small pieces")
             if not await pipe.put(event.data):
                 raise ConnectionAbortedError("the client has left")
--- a/testbed/machine/process.py
+++ b/testbed/machine/process.py
@@ -110,6 +110,10 @@
         """Return 1: virtual processes are told apart by their names."""
         return 1
 
+    def memory_bytes(self) -> Optional[int]:
+        """Return None: memory is not modelled."""
+        return None
+
     def random_bytes(self, size: int) -> bytes:
         """Return bytes from the random stream of the network."""
         return self.net.rng.randbytes(size)
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -465,3 +465,23 @@
             )
 
     run_async(test)
+
+
+def test_an_answer_that_is_cut_off_is_counted_and_logged_with_id_bytes_and_cause(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def test() -> None:
+        box = TwoPartServer(sized(BODY)[:300_000], b"")
+        async with rig({"s0": box}) as made:
+            with caplog.at_level("INFO", "corkshift.node"):
+                response_task = asyncio.create_task(made.ask("cut-1"))
+                await until(lambda: bool(made.node._streams))
+                box.close()
+                await response_task
+                await until_idle(made)
+            lines = [line for line in caplog.messages if "cut off" in line]
+            assert len(lines) == 1 and "cut-1" in lines[0] and "s0" in lines[0]
+            assert "bytes" in lines[0] and "broken" in lines[0]
+            assert made.metrics.cut_answers == {"broken": 1}
+
+    run_async(test)
