Streams: a reset directly behind data is read at once, not after ten seconds

A client that sent a request and reset its connection was not known to have left. A watch of discovery that was reset behind a line was not known to have ended.

Cause: libuv stops polling a socket at the first event with an error, and uvloop then calls the reader once and forgets it (UVPoll._fatal_error in its poll.pyx; strace is not needed to see it: ['watching'] [10] against asyncio's [10, 5, ECONNRESET] in a ten-line probe). The stream read once for each call, so the reset behind those bytes stayed unread until STALL_TIMEOUT_S or the client's own time. A paused stream fared alike at its next resume.

Change: the reader reads until the socket is empty or has ended, or the buffer is full; a pause sets up a new handle. A writer is removed in its callback, since uvloop keeps the closed handle until then and would refuse a new reader. Class: a notification that comes once, taken for one that comes again. Checked beside it: listener, datagrams and DNS sockets never get such an error (unconnected), connect looks at SO_ERROR itself.

--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -104,7 +104,7 @@
         So input that only the kernel held counts, and so does the peer's FIN.
         """
         if not (self.closed or self.ended or self._in):
-            self._readable()
+            self._receive()
         return not (self.closed or self.ended or self._in)
 
     async def read(self) -> bytes:
@@ -141,7 +141,7 @@
         """
         self._expired = True
         if not (self.closed or self.ended) and self._reading:
-            self._readable()
+            self._receive()
         self._wake()
 
     def clear_expired(self) -> None:
@@ -240,7 +240,7 @@
 
     async def _writable(self) -> None:
         self._writer = self._loop.create_future()
-        self._loop.add_writer(self._sock, self._wake)
+        self._loop.add_writer(self._sock, self._on_writable)
         try:
             await self._writer
         finally:
@@ -248,23 +248,39 @@
             if not self.closed:
                 self._loop.remove_writer(self._sock)
 
-    def _readable(self) -> None:
+    def _on_writable(self) -> None:
+        # uvloop keeps a closed handle for a socket with an error until its writer is removed, and
+        # the handle would refuse a new reader.
+        self._loop.remove_writer(self._sock)
+        self._wake()
+
+    def _on_readable(self) -> None:
+        """Read until the socket is empty or ended, or until the buffer is full.
+
+        uvloop stops watching a socket at the first event with an error, after a single call of this
+        function. So a reset directly behind data must be read now.
+        """
+        while self._receive() and self._reading:
+            pass
+
+    def _receive(self) -> bool:
+        """Read once; return whether input arrived."""
         try:
             size = self._sock.recv_into(
                 _SCRATCH if self.read_limit == READ_BYTES else _SCRATCH[: self.read_limit]
             )
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError as error:
             if error.errno in NO_BUFFER_ERRNOS:
                 self._pause()  # the kernel keeps the input until the retry
                 self._loop.call_later(NO_BUFFERS_RETRY_S, self._resume)
-                return
-            self._end(error)
-            return
+            else:
+                self._end(error)
+            return False
         if not size:
             self._end(None)
-            return
+            return False
         self.last_read_full = size == self.read_limit
         self._in.append(bytes(_SCRATCH[:size]))
         self._buffered_bytes += size
@@ -273,6 +289,7 @@
         self._wake()
         if self.on_input is not None:
             self.on_input()
+        return True
 
     def _end(self, error: Optional[OSError]) -> None:
         self.ended = True
@@ -290,7 +307,7 @@
     def _resume(self) -> None:
         if not (self._reading or self.ended or self.closed):
             self._reading = True
-            self._loop.add_reader(self._sock, self._readable)
+            self._loop.add_reader(self._sock, self._on_readable)
 
     def _pause(self) -> None:
         if self._reading:
--- a/testbed/nights/defects.py
+++ b/testbed/nights/defects.py
@@ -112,7 +112,7 @@
 def hears_of_an_end_late() -> list[Patch]:
     def noticed(self: Any) -> None:
         if self._stream.ended:
-            self._task.cancel()
+            asyncio.get_running_loop().call_soon(self._task.cancel)
 
     # Either guard alone is enough: a request that waited unread is checked again before it is sent.
     return [
--- a/tests/testbed/test_simulation.py
+++ b/tests/testbed/test_simulation.py
@@ -29,7 +29,7 @@
 # Number of seeds of each other kind that are run.
 SCENARIOS_PER_GROUP = 40
 # Many clients leave while their requests wait.
-LEAVING = range(40_000_001, 40_000_201)
+LEAVING = range(40_000_001, 40_001_201)
 # An idle node with two calls to discovery and a replaced watch had more timers than the rule
 # allowed.
 ONCE_FAILED = (10_060_276, 10_060_282)
@@ -55,7 +55,7 @@
     "counts-a-connection-twice": (2, "books"),
     "sends-after-a-cancel": (13, "nothing after the end"),
     "hears-of-an-end-late": (40_000_046, "left while it waited"),
-    "never-looks-again": (40_000_040, "left while it waited"),
+    "never-looks-again": (40_000_139, "left while it waited"),
     "forgets-what-is-out": (13, "nothing after the end"),
     "forgets-a-timer": (1, "books"),
     "keeps-a-bodys-room": (1, "books"),
@@ -66,7 +66,7 @@
     "drops-what-is-held-at-a-drain": (5, "one final answer"),
     "never-sweeps": (19, "bad clients"),
     # Needs two events in one instant; no basic scenario with a seed below 1,200 shows it any more.
-    "aborts-a-kept-connection": (40_000_108, "books"),
+    "aborts-a-kept-connection": (40_001_136, "books"),
     "has-no-deadline": (91, "one final answer"),
     "pushes-a-cold-server-over": (61, "no cold server pushed over"),
     "forgets-the-allowance-of-a-repeat": (20_004, "no cold server pushed over"),
