Heads and bodies: h11 no longer holds a message, nor waits for the end of noise

What callers saw: a process was killed for its memory beside clients whose heads hold thousands of short fields; ordinary reads beside them were refused, since each such head took 6 ms of the core. A client was left waiting for 10 s where its server wrote noise in place of a chunk. Answers and bodies in small chunks held the loop: up to 109 ms for one read, and 84 broken answers in 20-byte chunks reached their clients' ends 1 to 2.9 s late.

Cause: h11's connection lived as long as the message. It kept the head's event (314 KiB for 2,200 fields, part of it in reference cycles that are collected late), waited for a line end in whatever came in place of a chunk's header (up to 16 KiB), and made an event, a piece of the pipe and a write of every chunk.

Change: corkshift/heads.py reduces a head to the fields that the node uses before h11 parses it, and drops the parser with it; corkshift/bodies.py decodes bodies (sans-I/O): all that one read brought is one piece, at most 2,048 chunks in one turn of the loop, and what can't become a chunk is rejected as it arrives. Request validation moves from frontend.py to corkshift/requests.py. Framing, errors and limits are those of h11; hypothesis compares the two (tests/test_bodies.py).

Class: a resource that is spent (memory of objects, turns of the loop) before any limit counts it.

--- a/corkshift/budget.py
+++ b/corkshift/budget.py
@@ -19,28 +19,24 @@
 class SmallPieceDetector:
     """Detects a body that comes in too many small pieces.
 
-    Counts the pieces that arrived in the same socket read as another one. One read may hold
-    thousands of one-byte chunks, each of which costs a call of the parser. The first piece of a
-    read is not counted: however short the reads are, each costs its sender a packet, and the time
-    limits bound their number.
+    Counts the pieces that arrived together with another one. One read may hold thousands of
+    one-byte chunks. The first piece of a read is not counted: however short the reads are, each
+    costs its sender a packet, and the time limits bound their number.
     """
 
-    __slots__ = ("_pieces", "_size", "_reads")
+    __slots__ = ("_pieces", "_size")
 
     def __init__(self) -> None:
         self._pieces = 0
         self._size = 0
-        self._reads = -1
 
-    def too_small(self, size: int, reads: int) -> bool:
-        """Count a piece of `size` bytes; return whether the pieces are too small on average.
+    def too_small(self, size: int, pieces: int) -> bool:
+        """Count `size` bytes that came in `pieces` pieces at once.
 
-        reads: the number of the socket read that brought the piece.
+        Returns whether the pieces are too small on average.
         """
         self._size += size
-        if reads == self._reads:
-            self._pieces += 1
-        self._reads = reads
+        self._pieces += max(0, pieces - 1)
         return (
             self._pieces > MAX_SMALL_PIECES and self._pieces * MIN_AVERAGE_PIECE_BYTES > self._size
         )
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import logging
-import re
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -20,14 +19,23 @@
 import h11
 
 from corkshift import seam
+from corkshift.bodies import (
+    BodyDecoder,
+    IncompleteBody,
+    MalformedBody,
+    decoder_of,
+    next_piece,
+)
 from corkshift.body_arrival import BodyArrival
 from corkshift.budget import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, BodyBudget, SmallPieceDetector
+from corkshift.heads import RequestHead, RequestHeadParser
 from corkshift.listener import Listener
 from corkshift.loop_lag import LoopLagMonitor
 from corkshift.messages import ClientRequest, Response
 from corkshift.node import Node
-from corkshift.plain import COMPLETE_REQUEST, CompleteRequest, request_head
+from corkshift.plain import request_head
 from corkshift.relay import BodyPipe
+from corkshift.requests import Rejected, check_framing, origin_form, parse_request
 from corkshift.seam import Address, Socket, now_ms
 from corkshift.stream import READ_BYTES, Stream
 from forkweir.limits.lifecycle import (
@@ -39,8 +47,6 @@
 
 log = logging.getLogger(__name__)
 
-# Limit of a request's head, of a chunk's header and of trailers.
-MAX_HEAD_BYTES = 16_384
 # Pipelined requests of one connection that are handled at once.
 MAX_PIPELINED_REQUESTS = 4
 # A client that reads nothing of its response for this long is disconnected.
@@ -70,34 +76,22 @@
 # Wait during a shutdown in which the connections accepted last deliver their first bytes.
 LAST_READ_DELAY_S = 0.02
 
-REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,128}")
-SINGLETON_HEADERS = {
-    b"x-txn",
-    b"x-lane",
-    b"x-org",
-    b"x-remaining-ms",
-    b"x-estimate",
-    b"x-resent",
-    b"idempotency-key",
-    b"host",
-}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # A connection is kept after these responses if the request was read completely.
 KEEP_ALIVE_STATUSES = {200, 500, 502, 503, 504}
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
-# Known methods that the node does not support get status 405; unknown ones get 501.
-UNSUPPORTED_METHODS = {b"HEAD", b"POST", b"DELETE", b"OPTIONS", b"PATCH", b"TRACE", b"CONNECT"}
-
 
-# What read a request: h11, or COMPLETE_REQUEST in place of it where `plain` parsed the head.
-Parser = h11.Connection | CompleteRequest
 
+@dataclass(eq=False, slots=True)
+class Exchange:
+    """One request of a client connection and its response, once there is one.
 
-class Rejected(Exception):
-    """A request that the node answers with an error status before closing its connection."""
+    keep_alive: another request may follow on the connection. http_1_0: the client speaks HTTP/1.0.
+    """
 
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
+    response: asyncio.Future[Response]
+    keep_alive: bool = True
+    http_1_0: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,14 +123,11 @@
         self.served = False  # a response has been written
         # The last response has been written; the node waits briefly for the client's FIN.
         self.lingering = False
-        self._queue: asyncio.Queue[Optional[tuple[Parser, asyncio.Future[Response]]]] = (
-            asyncio.Queue(MAX_PIPELINED_REQUESTS)
-        )
+        self._queue: asyncio.Queue[Optional[Exchange]] = asyncio.Queue(MAX_PIPELINED_REQUESTS)
         self._requests: dict[asyncio.Future[Response], ClientRequest] = {}
         self._pending = 0
-        self._reads = 0  # socket reads made for bodies
-        # Parser of a large request whose body is still being forwarded or discarded.
-        self._large_body_parser: Optional[h11.Connection] = None
+        # The exchange whose large request body is still being forwarded or discarded.
+        self._large_exchange: Optional[Exchange] = None
         self._arrival: Optional[BodyArrival] = None  # of the large body that is being forwarded
         self._stream = Stream(sock)
         self._stream.on_input = self._on_input
@@ -147,10 +138,7 @@
     def idle(self) -> bool:
         """Whether no request is open or partly read, and no input waits."""
         return not (
-            self._pending
-            or self.partial
-            or self._large_body_parser
-            or self._stream.has_buffered_input
+            self._pending or self.partial or self._large_exchange or self._stream.has_buffered_input
         )
 
     @property
@@ -168,7 +156,7 @@
         it would reset its last response; LINGER_TIMEOUT_S bounds how long it stays.
         """
         if (
-            not self.lingering and (self._pending or self._large_body_parser)
+            not self.lingering and (self._pending or self._large_exchange)
         ) or not self._stream.open_without_input:
             return False
         self._stream.close()
@@ -225,11 +213,10 @@
     async def _serve(self) -> None:
         reader = self._reader = asyncio.create_task(self._read_requests())
         try:
-            while (item := await self._queue.get()) is not None:
-                parser, future = item
-                response = await future
-                keep = await self._send(parser, response)
-                self._requests.pop(future, None)
+            while (exchange := await self._queue.get()) is not None:
+                response = await exchange.response
+                keep = await self._send(exchange, response)
+                self._requests.pop(exchange.response, None)
                 self._pending -= 1
                 self.served = True
                 if not keep:
@@ -267,7 +254,7 @@
         try:
             while data is not None:
                 data = await self._read_request(data)
-        except (Rejected, h11.RemoteProtocolError, TimeoutError) as error:
+        except (Rejected, h11.RemoteProtocolError, MalformedBody, TimeoutError) as error:
             status = _error_status(error)
         except OSError:
             pass
@@ -276,17 +263,15 @@
             status = 500
         if status:
             response = self._frontend.node.busy_response if status == 503 else Response(status)
-            # The state of the new parser is IDLE, not DONE, so the connection closes after the
-            # response.
-            await self._enqueue(h11.Connection(h11.SERVER), _completed(response))
+            await self._enqueue(Exchange(_completed(response), keep_alive=False))
         await self._queue.put(None)
 
-    async def _enqueue(self, parser: Parser, future: asyncio.Future[Response]) -> None:
+    async def _enqueue(self, exchange: Exchange) -> None:
         self._pending += 1
         self.partial = False
         self._stream.clear_expired()
         self._frontend.mark_busy(self)
-        await self._queue.put((parser, future))
+        await self._queue.put(exchange)
 
     async def _read_request(self, data: bytes) -> Optional[bytes]:
         """Read one request and submit it.
@@ -305,18 +290,18 @@
             self.since_ms = now_ms()
         self._frontend.mark_partial(self)
         self._stream.read_limit = self._frontend.node.read_limit(READ_BYTES)
-        parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
-        parser.receive_data(data)
-        while (event := parser.next_event()) is h11.NEED_DATA:
+        parser = RequestHeadParser()
+        while (head := parser.receive(data)) is None:
             if not (data := await self._stream.read()):
                 return None
-            parser.receive_data(data)
-        del data  # the parser has it; it would be held for the whole of a long body
-        assert isinstance(event, h11.Request)
-        _check_framing(event)
-        if not await self._read_body(parser, event) or parser.their_state is h11.MUST_CLOSE:
+        check_framing(head)
+        decoder = decoder_of(head.length, head.chunked)
+        if parser.surplus:
+            decoder.receive(parser.surplus)
+        del data, parser  # they would be held for the whole of a long body
+        if not await self._read_body(decoder, head) or not head.keep_alive:
             return None
-        return parser.trailing_data[0]
+        return decoder.surplus
 
     async def _read_simple(self, data: bytes) -> Optional[bytes]:
         """Submit the request at the start of `data` if it is complete and its head simple.
@@ -332,14 +317,14 @@
         end = head.end + (head.length or 0)
         if len(data) < end:
             return None
-        request = _parse_request(
+        request = parse_request(
             head.method, head.target, head.fields, self._frontend.node.has_class
         )
         buffered = end - head.end
         if buffered:
             self._reserve_body(request, buffered)
             request.body.append(bytearray(data[head.end : end]))
-        await self._enqueue(COMPLETE_REQUEST, self._admit(request, buffered))
+        await self._enqueue(Exchange(self._admit(request, buffered)))
         return data[end:]
 
     def _reserve_body(self, request: Optional[ClientRequest], size: int) -> None:
@@ -349,37 +334,41 @@
                 self._frontend.node.count_unadmitted(request.class_name, "no-room")
             raise Rejected(503)
 
-    async def _read_body(self, parser: h11.Connection, head: h11.Request) -> bool:
+    async def _read_body(self, decoder: BodyDecoder, head: RequestHead) -> bool:
+        """Read a request's body and submit the request; return whether all of it was read."""
         # None stands for a health check at `/up`, which the front end answers by itself. Its body
         # is read and dropped.
         request = None
-        if _origin_form(head.target) != b"/up":
-            request = _parse_request(
-                head.method, head.target, dict(head.headers), self._frontend.node.has_class
+        if origin_form(head.target) != b"/up":
+            request = parse_request(
+                head.method, head.target, head.fields, self._frontend.node.has_class
             )
         if request is None and head.method != b"GET":
             raise Rejected(405)
         self.since_ms = now_ms()  # the body has a time limit of its own
-        buffered, body_rest = await self._buffer_body(parser, request)
+        if head.expects_continue and not self._pending and not decoder.surplus:
+            await self._stream.write(CONTINUE)
+        keep_alive, http_1_0 = head.keep_alive, head.version == b"1.0"
+        buffered, body_rest = await self._buffer_body(decoder, request)
         if request is None:
             self._frontend.body_budget.release(buffered)
-            await self._enqueue(
-                parser,
-                _completed(
-                    Response(200, b"ok\n")
-                    if self._frontend.lifecycle.accepts_clients
-                    else Response(503, b"draining\n")
-                ),
+            health = (
+                Response(200, b"ok\n")
+                if self._frontend.lifecycle.accepts_clients
+                else Response(503, b"draining\n")
             )
+            await self._enqueue(Exchange(_completed(health), keep_alive, http_1_0))
         elif body_rest is not None:
             request.body_rest = body_rest
-            return await self._read_large_body(parser, request, body_rest, buffered)
+            response = self._admit_large(decoder, request, body_rest, buffered)
+            exchange = Exchange(response, keep_alive, http_1_0)
+            return await self._read_large_body(decoder, request, body_rest, exchange)
         else:
-            await self._enqueue(parser, self._admit(request, buffered))
+            await self._enqueue(Exchange(self._admit(request, buffered), keep_alive, http_1_0))
         return True
 
     async def _buffer_body(
-        self, parser: h11.Connection, request: Optional[ClientRequest]
+        self, decoder: BodyDecoder, request: Optional[ClientRequest]
     ) -> tuple[int, Optional[BodyPipe]]:
         """Read a body to its end, or until it is too large to buffer.
 
@@ -389,24 +378,22 @@
         body_budget, buffered = self._frontend.body_budget, 0
         try:
             detector, progress_bytes = SmallPieceDetector(), 0
-            while not isinstance(event := await self._event(parser), h11.EndOfMessage):
-                if not isinstance(event, h11.Data) or detector.too_small(
-                    len(event.data), self._reads
-                ):
+            while piece := await next_piece(decoder, self._stream.read):
+                piece_bytes = len(piece)
+                if detector.too_small(piece_bytes, decoder.chunks):
                     raise Rejected(400)
-                piece_bytes = len(event.data)
                 if buffered + piece_bytes > MAX_BUFFERED_BODY_BYTES:
                     if request is None or request.method != b"PUT":
                         raise Rejected(413)
                     body_rest = BodyPipe()
-                    await body_rest.put(event.data)  # it is empty, so this doesn't wait
+                    await body_rest.put(piece)  # it is empty, so this doesn't wait
                     return buffered, body_rest
                 self._reserve_body(request, piece_bytes)
                 buffered += piece_bytes
                 if buffered - progress_bytes >= MIN_PROGRESS_BYTES:
                     progress_bytes, self.since_ms = buffered, now_ms()
                 if request is not None:
-                    _append_body(request.body, event.data)
+                    _append_body(request.body, piece)
         except BaseException:
             body_budget.release(buffered)
             raise
@@ -463,18 +450,14 @@
         since_last_receive_ms = self._stream.unread_ms
         return bound_ms if since_last_receive_ms is None else min(bound_ms, since_last_receive_ms)
 
-    async def _read_large_body(
-        self, parser: h11.Connection, request: ClientRequest, body_rest: BodyPipe, buffered: int
-    ) -> bool:
-        """Submit a request too large to buffer with its first bytes, then forward the rest.
+    def _admit_large(
+        self, decoder: BodyDecoder, request: ClientRequest, body_rest: BodyPipe, buffered: int
+    ) -> asyncio.Future[Response]:
+        """Submit a request too large to buffer with its first bytes, as `_admit` does.
 
-        body_rest: holds what was read behind the `buffered` bytes. Forwarding bounds the memory
-        that bodies take. Once no server wants the rest, it is read and discarded: a close over
-        unread input would reset the connection before the client has read an early response. The
-        cost is the transfer of the whole body.
+        body_rest: holds what was read behind the `buffered` bytes.
         """
-        size, detector, progress_bytes = buffered + body_rest.queued_bytes, SmallPieceDetector(), 0
-        received_bytes = size + len(parser.trailing_data[0])
+        received_bytes = buffered + body_rest.queued_bytes + len(decoder.surplus)
         # What waited in the kernel may have filled its buffer, so that the rest came only now.
         waited_ms = max(self._queued_ms, self._frontend.loop_lag.unread_ms())
         self._arrival = request.arrival = BodyArrival(
@@ -487,18 +470,33 @@
         response = self._admit(request, buffered)
         if response is not request.response:
             body_rest.close()  # the request was refused
-        self._large_body_parser = parser
-        await self._enqueue(parser, response)
+        return response
+
+    async def _read_large_body(
+        self,
+        decoder: BodyDecoder,
+        request: ClientRequest,
+        body_rest: BodyPipe,
+        exchange: Exchange,
+    ) -> bool:
+        """Forward the rest of a body too large to buffer; return whether all of it was read.
+
+        Forwarding bounds the memory that bodies take. Once no server wants the rest, it is read and
+        discarded: a close over unread input would reset the connection before the client has read
+        an early response. The cost is the transfer of the whole body.
+        """
+        size, detector = decoder.decoded_bytes, SmallPieceDetector()
+        progress_bytes = 0
+        self._large_exchange = exchange
+        await self._enqueue(exchange)
         loop = asyncio.get_running_loop()
         due = loop.time() + REQUEST_TIMEOUT_MS / 1000.0
         try:
             async with asyncio.timeout_at(due) as timeout:
-                while not isinstance(event := await self._event(parser), h11.EndOfMessage):
-                    if not isinstance(event, h11.Data) or detector.too_small(
-                        len(event.data), self._reads
-                    ):
+                while piece := await next_piece(decoder, self._read_body_input):
+                    if detector.too_small(len(piece), decoder.chunks):
                         raise Rejected(400)
-                    size += len(event.data)
+                    size += len(piece)
                     if size > MAX_BODY_BYTES:
                         raise Rejected(413)
                     self._stream.read_limit = self._frontend.node.transfer_read_limit(
@@ -506,16 +504,17 @@
                     )
                     if body_rest.queued_bytes:  # waits for the server, not for the client
                         timeout.reschedule(None)
-                    await body_rest.put(event.data)
+                    await body_rest.put(piece)
+                    del piece  # the pipe has it
                     if size - progress_bytes >= MIN_PROGRESS_BYTES:
                         progress_bytes, due = size, loop.time() + REQUEST_TIMEOUT_MS / 1000.0
                     if timeout.when() != due:
                         timeout.reschedule(due)
             body_rest.end()
-            self._large_body_parser = None
+            self._large_exchange = None
             self._mark_idle()
             return True
-        except (Rejected, h11.RemoteProtocolError, TimeoutError) as error:
+        except (Rejected, MalformedBody, IncompleteBody, TimeoutError) as error:
             body_rest.fail()
             self._frontend.node.end(request, Response(_error_status(error)))
             return False
@@ -527,23 +526,15 @@
         request.body.clear()
         self._frontend.body_budget.release(buffered)
 
-    async def _event(self, parser: h11.Connection) -> object:
-        if parser.they_are_waiting_for_100_continue and not self._pending:
-            await self._stream.write(
-                parser.send(
-                    h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
-                )
-            )
-        while (event := parser.next_event()) is h11.NEED_DATA:
-            if self._arrival is not None and not self._stream.has_buffered_input:
-                self._arrival.record_parsed_all()
-            parser.receive_data(await self._stream.read())
-            self._reads += 1
-        return event
+    async def _read_body_input(self) -> bytes:
+        """Read more of a large body, all input of which has been decoded."""
+        if self._arrival is not None and not self._stream.has_buffered_input:
+            self._arrival.record_parsed_all()
+        return await self._stream.read()
 
     # -- responses -----------------------------------------------------------------------
 
-    async def _send(self, parser: Parser, response: Response) -> bool:
+    async def _send(self, exchange: Exchange, response: Response) -> bool:
         """Write one response; return whether the connection is kept after it."""
         last = (
             not self._frontend.lifecycle.keeps_connections
@@ -553,7 +544,7 @@
         )
         # Whether another request can be read behind this one: it is complete, or its large body is
         # still read to its end, forwarded or discarded.
-        can_read_on = parser.their_state is h11.DONE or parser is self._large_body_parser
+        can_read_on = exchange.keep_alive or exchange is self._large_exchange
         keep = can_read_on and response.status in KEEP_ALIVE_STATUSES and not last
         if not keep and self._reader is not None:
             # Reading stops before the write, which may take a while. A request that arrives from
@@ -561,7 +552,7 @@
             # accepted, forwarded and then dropped with the connection.
             self._reader.cancel()
         if response.body_rest is not None:
-            return await self._send_large(parser, response, response.body_rest, keep)
+            return await self._send_large(exchange, response, response.body_rest, keep)
         head, body = _response_head(response, keep), response.body
         try:
             sent = self._stream.write_now(head + body)
@@ -582,11 +573,11 @@
         await self._stream.write_within(WRITE_TIMEOUT_S, data)
 
     async def _send_large(
-        self, parser: Parser, response: Response, body_rest: BodyPipe, keep: bool
+        self, exchange: Exchange, response: Response, body_rest: BodyPipe, keep: bool
     ) -> bool:
         """Stream a response too large to buffer; return whether the connection is kept after it."""
         # HTTP/1.0 has no chunked coding: there a body of unknown length ends with its connection.
-        chunked = response.length is None and parser.their_http_version != b"1.0"
+        chunked = response.length is None and not exchange.http_1_0
         keep = keep and (chunked or response.length is not None)
         head = _response_head(response, keep, chunked)
         try:
@@ -868,6 +859,8 @@
     """Return the status for a request that could not be read."""
     if isinstance(error, Rejected):
         return error.status
+    if isinstance(error, (MalformedBody, IncompleteBody)):
+        return HTTPStatus.BAD_REQUEST
     return error.error_status_hint if isinstance(error, h11.RemoteProtocolError) else 408
 
 
@@ -883,73 +876,3 @@
         body[-1] += data
     else:
         body.append(bytearray(data))
-
-
-def _parse_number(value: bytes) -> float:
-    """Parse a header's decimal number, with an optional fraction.
-
-    The check comes first because float() also accepts signs, exponents, `nan` and `inf`.
-    """
-    integer, _, fraction = value.partition(b".")
-    if not (integer.isdigit() and (fraction.isdigit() or not fraction) and len(value) <= 18):
-        raise Rejected(400)
-    return float(value)
-
-
-def _check_framing(head: h11.Request) -> None:
-    """Reject a head whose framing is ambiguous (request smuggling; RFC 9112, 6.1 and 11.2).
-
-    Otherwise the next parser could take a part of one request's body for another request, or two
-    parsers could use different values of a repeated header. A client that repeats a header by
-    mistake is rejected too.
-    """
-    headers = dict(head.headers)
-    if b"transfer-encoding" in headers and (
-        b"content-length" in headers or head.http_version != b"1.1"
-    ):
-        raise Rejected(400)
-    if len(headers) < len(head.headers):
-        names = [name for name, _ in head.headers]
-        if any(names.count(name) > 1 for name in SINGLETON_HEADERS):
-            raise Rejected(400)
-    if int(headers.get(b"content-length", b"0")) > (
-        MAX_BODY_BYTES if head.method == b"PUT" else MAX_BUFFERED_BODY_BYTES
-    ):
-        raise Rejected(413)
-
-
-def _origin_form(target: bytes) -> bytes:
-    """Convert a target in absolute form to origin form (RFC 9112, 3.2.1 and 3.2.2)."""
-    if target[:7].lower() != b"http://":
-        return target
-    _, slash, path = target[7:].partition(b"/")
-    return slash + path if slash else b"/"
-
-
-def _parse_request(
-    method: bytes, target: bytes, headers: dict[bytes, bytes], has_class: Callable[[str], bool]
-) -> ClientRequest:
-    """Return the request that a head describes; raise Rejected if the node does not support it."""
-    if method not in (b"GET", b"PUT"):
-        raise Rejected(405 if method in UNSUPPORTED_METHODS else 501)
-    txn, class_name = headers.get(b"x-txn", b""), headers.get(b"x-lane", b"").decode("latin-1")
-    target = _origin_form(target)
-    if not target.startswith(b"/"):
-        raise Rejected(404)
-    if not REQUEST_ID_PATTERN.fullmatch(txn) or not has_class(class_name):
-        raise Rejected(400)
-    remaining_ms = headers.get(b"x-remaining-ms")
-    return ClientRequest(
-        method=method,
-        target=target,
-        txn=txn,
-        idempotency_key=headers.get(b"idempotency-key"),
-        class_name=class_name,
-        org=headers.get(b"x-org", b"").decode("latin-1"),
-        key=target.partition(b"?")[0].rpartition(b"/")[2].decode("latin-1") or None,
-        client_wait_ms=None if remaining_ms is None else _parse_number(remaining_ms),
-        # The header is in microseconds.
-        work_ms=_parse_number(headers.get(b"x-estimate", b"0")) / 1000.0,
-        repeated=headers.get(b"x-resent") == b"1",
-        length=int(headers[b"content-length"]) if b"content-length" in headers else None,
-    )
--- a/corkshift/plain.py
+++ b/corkshift/plain.py
@@ -12,8 +12,6 @@
 from dataclasses import dataclass
 from typing import Optional
 
-import h11
-
 MAX_SIMPLE_HEAD_BYTES = 4_096
 MAX_SIMPLE_BODY_BYTES = 65_536
 
@@ -37,20 +35,6 @@
 Fields = dict[bytes, bytes]
 
 
-class CompleteRequest:
-    """Takes the place of an h11 connection as the parser of a request whose head was parsed here.
-
-    The request has been read to its end. Of an h11 connection it has only what the front end reads
-    after that: the state DONE and the version.
-    """
-
-    their_state = h11.DONE
-    their_http_version = b"1.1"
-
-
-COMPLETE_REQUEST = CompleteRequest()
-
-
 @dataclass(frozen=True, slots=True)
 class SimpleHead:
     """A head in simple form."""
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -10,7 +10,20 @@
 import h11
 
 from corkshift import seam
+from corkshift.bodies import (
+    CRLF,
+    BodyDecoder,
+    MalformedBody,
+    decoder_of,
+    next_piece,
+)
 from corkshift.budget import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, SmallPieceDetector
+from corkshift.heads import (
+    Fields,
+    ResponseHead,
+    ResponseHeadParser,
+    TooManyInformationalResponses,
+)
 from corkshift.loop_lag import LoopLagMonitor
 from corkshift.messages import ClientRequest, Response
 from corkshift.metrics import Metrics
@@ -22,17 +35,14 @@
 from forkweir.limits.lifecycle import shared_limit
 from forkweir.send_guard import Denial, announced_wait_ms
 
-# Limit of a response's head, of a chunk's header and of trailers.
-MAX_HEAD_BYTES = 16_384
-# 1xx responses permitted ahead of the final one.
-MAX_INFORMATIONAL_RESPONSES = 8
+# Reads of an error response's body, which is read only to keep the connection.
+MAX_ERROR_BODY_READS = 8
 # Bytes read at once of a response too large to buffer.
 LARGE_BODY_READ_BYTES = 32_768
 # A server that sends or reads nothing of a large body for this long fails the attempt.
 STALL_TIMEOUT_S = 10.0
 # A server that has taken nothing of a large body for this long is at fault if its time runs out.
 SERVER_STALL_S = 0.5
-VERSION_PREFIX = b"HTTP/1."
 # A connection is not reused after this share of the servers' idle timeout.
 IDLE_TIMEOUT_SHARE = 0.7
 # Idle time before a connection is reused. Surplus bytes behind a response are assumed to arrive by
@@ -49,6 +59,7 @@
 # Share of an attempt's time for connecting again after a shortage on this machine; the rest is left
 # for another attempt.
 LOCAL_RETRY_SHARE = 0.7
+LAST_CHUNK = b"0\r\n\r\n"
 # Values of the X-Found header, as the balancer counts them; 0 stands for unknown. "pending": the
 # object was not in the cache, and was already being fetched for another request.
 CACHE_RESULTS = {b"hit": 1, b"miss": 2, b"pending": 3}
@@ -286,13 +297,8 @@
         self._body_progress_s = 0.0  # when the server last took a part of a large body
         self._response_pipe: Optional[BodyPipe] = None  # passes on a response too large to buffer
         self._stream: Optional[Stream] = None
-        # Created only if the response is not in simple form.
-        self._parser: Optional[h11.Connection] = None
-        # The response has neither a length nor chunks: the end of its connection completes it.
-        self._until_close = False
-        self._reads = 0  # socket reads of a response that h11 parses
         self._announced_ms = 0  # remaining time announced to the server
-        # The simple response is complete, with no bytes behind it.
+        # The response is complete, with no bytes behind it, and another one may follow.
         self._response_complete = False
         self.cause = ""  # why the attempt failed, in short; empty if it did not
         self.streamed_bytes = 0  # of the body of a response too large to buffer
@@ -326,7 +332,7 @@
             outcome, cause = Outcome("void"), str(error)
         except TimeoutError as error:
             outcome, cause = Outcome(self._timeout_status()), str(error) or "timeout"
-        except (h11.RemoteProtocolError, MalformedResponse) as error:
+        except (h11.RemoteProtocolError, MalformedBody, MalformedResponse) as error:
             # After the complete request, the server's response is malformed, which the balancer
             # distinguishes from a broken connection. Before, the request cannot have run.
             outcome, cause = Outcome("spoilt" if self._all_sent else "unreachable"), str(error)
@@ -392,36 +398,19 @@
             self._within_ms if when is None else 1000.0 * (when - asyncio.get_running_loop().time())
         )
 
-    def _head(self, parser: h11.Connection, size: Optional[int]) -> bytes:
-        """Serialize the request's head with h11."""
-        return (
-            parser.send(
-                h11.Request(
-                    method=self.request.method,
-                    target=self.request.target,
-                    headers=self._headers(size),
-                )
-            )
-            or b""
-        )
+    def _head(self, size: Optional[int]) -> bytes:
+        """Return the request's head; `size` as in `_headers`.
 
-    def _make_parser(self) -> h11.Connection:
-        """Create the h11 connection for a request that has already been sent without it."""
-        parser = self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._head(parser, sum(map(len, self.request.body)))
-        for part in self.request.body:
-            parser.send_with_data_passthrough(h11.Data(data=bytes(part)))
-        parser.send(h11.EndOfMessage())
-        return parser
+        The node made all parts of it itself or checked them when it read the client's request.
+        """
+        fields = b"".join([b"%b: %b\r\n" % field for field in self._headers(size)])
+        return b"%b %b HTTP/1.1\r\n%b\r\n" % (self.request.method, self.request.target, fields)
 
     async def _send(self, stream: Stream) -> bool:
         """Write the request; return False if the server responded before its last byte."""
         request = self.request
         size = sum(map(len, request.body))
-        # The node made all parts of the head itself or checked them when it read the client's
-        # request, so it is written without h11's checks.
-        fields = b"".join([b"%b: %b\r\n" % field for field in self._headers(size)])
-        head = b"%b %b HTTP/1.1\r\n%b\r\n" % (request.method, request.target, fields)
+        head = self._head(size)
         pieces: list[bytes | bytearray] = [head, *request.body]
         if len(head) + size <= READ_BYTES:
             pieces = [b"".join(pieces)]
@@ -469,10 +458,9 @@
         """Write head and body of a request too large to buffer; return False as `_send` does."""
         request, body_rest = self.request, self.request.body_rest
         assert body_rest is not None
-        parser = self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        ahead = [self._head(parser, request.length)]
+        ahead: list[bytes | bytearray] = [self._head(request.length)]
         # No variable of this function keeps a part, so that each is freed once it is written.
-        ahead += [part for kept in request.body for part in self._body_parts(parser, kept)]
+        ahead += [part for kept in request.body for part in self._body_parts(kept)]
         self._check_may_send()
         while (piece := await body_rest.get()) is not None:
             if not request.body_consumed:
@@ -483,21 +471,19 @@
             if not await self._write_parts(stream, ahead):
                 body_rest.close()
                 return False
-            ahead = self._body_parts(parser, piece)
-        end = b"".join([*ahead, parser.send(h11.EndOfMessage()) or b""])
+            ahead = self._body_parts(piece)
+        end = b"".join([*ahead, LAST_CHUNK if request.length is None else b""])
         ahead.clear()
         self._any_sent = True
         if not await self._write_parts(stream, [end[:-1]]):
             return False
         return await self._send_last(stream, end[-1:], True)
 
-    def _body_parts(self, parser: h11.Connection, piece: bytes | bytearray) -> list[bytes]:
+    def _body_parts(self, piece: bytes | bytearray) -> list[bytes | bytearray]:
         """Return what is written for a piece of a large body; the piece itself is not copied."""
-        # h11 passes any bytes-like object on as it is.
-        data = h11.Data(data=piece)  # type: ignore[arg-type]
-        return [*(parser.send_with_data_passthrough(data) or ())]
+        return [piece] if self.request.length is not None else [b"%x\r\n" % len(piece), piece, CRLF]
 
-    async def _write_parts(self, stream: Stream, parts: list[bytes]) -> bool:
+    async def _write_parts(self, stream: Stream, parts: list[bytes | bytearray]) -> bool:
         """Write parts of a large body; return False if the server responds meanwhile."""
         for part in parts:
             if not await stream.write_within(STALL_TIMEOUT_S, part, until_input=True):
@@ -541,48 +527,72 @@
         return True
 
     async def _receive(self, early: bool) -> Outcome:
-        if self._parser is None:
-            data = await self._read()
-            if not early and (outcome := await self._receive_simple(data)) is not None:
-                return outcome
-            self._make_parser().receive_data(data)
-            del data  # the parser has it; it would be held for the whole of a long transfer
-        response = await self._event()
-        for _ in range(MAX_INFORMATIONAL_RESPONSES):
-            if not isinstance(response, h11.InformationalResponse):
-                break
-            response = await self._event()
-        if not isinstance(response, h11.Response):
-            raise MalformedResponse("too many 1xx responses")
-        headers = dict(response.headers)
-        length = _content_length(headers)
-        self._until_close = length is None and b"transfer-encoding" not in headers
-        if response.status_code != 200:
+        data = await self._read()
+        if not early and (outcome := await self._receive_simple(data)) is not None:
+            return outcome
+        head, decoder = await self._read_head(data)
+        del data  # the decoder has it; it would be held for the whole of a long transfer
+        if head.status != 200:
             # The head alone decides; the body is read only to keep the connection.
-            if not self._until_close:
-                await self._read_error_body()
-            return _error_outcome(response.status_code, headers)
+            await self._read_error_body(head, decoder)
+            return _error_outcome(head.status, head.fields)
         if early:
             raise ConnectionResetError("response with status 200 before the request was complete")
-        cache_result = _cache_result(headers)
-        body, complete = await self._buffer_body(length)
+        length = _content_length(head)
+        body, complete = await self._buffer_body(decoder, length)
         if complete:
-            return Outcome("success", cache_result, bytes(body))
-        pipe, size = BodyPipe(), len(body)
+            self._note_complete(head, decoder)
+            return Outcome("success", _cache_result(head.fields), bytes(body))
+        pipe = BodyPipe()
         await pipe.put(bytes(body))  # the pipe is empty, so this doesn't wait
         del body  # held by the pipe alone, so that it is freed once it is written
-        return await self._stream_response(pipe, size, length, cache_result)
+        return await self._stream_response(pipe, head, decoder, length)
+
+    async def _read_head(self, data: bytes) -> tuple[ResponseHead, BodyDecoder]:
+        """Read the head of the final response; return it with the decoder of its body.
+
+        data: what was read of it. The decoder has got what was read behind the head.
+        """
+        parser = ResponseHeadParser()
+        try:
+            while (head := parser.receive(data)) is None:
+                if not parser.can_begin_response:
+                    raise MalformedResponse("not HTTP")
+                data = await self._read()
+        except TooManyInformationalResponses:
+            raise MalformedResponse("too many 1xx responses") from None
+        length = _content_length(head) if head.has_body else 0
+        decoder = decoder_of(length, head.chunked and head.has_body, until_close=True)
+        if parser.surplus:
+            decoder.receive(parser.surplus)
+        return head, decoder
+
+    def _note_complete(self, head: ResponseHead, decoder: BodyDecoder) -> None:
+        """Note whether the connection can be kept after a complete response."""
+        self._response_complete = (
+            head.keep_alive and decoder.ends_within_connection and not decoder.surplus
+        )
 
-    async def _buffer_body(self, length: Optional[int]) -> tuple[bytearray, bool]:
+    async def _next_piece(self, decoder: BodyDecoder) -> bytes:
+        """Return the next bytes of a response's body, b"" at its end."""
+        return await next_piece(decoder, self._read_body_input)
+
+    async def _read_body_input(self) -> bytes:
+        assert self._stream is not None
+        return await self._stream.read()
+
+    async def _buffer_body(
+        self, decoder: BodyDecoder, length: Optional[int]
+    ) -> tuple[bytearray, bool]:
         """Read a response's body to its end, or until it has to be streamed.
 
         Returns what was read, and whether it is complete.
         """
         half_ms = now_ms() + self._within_ms / 2.0
         body, pieces = bytearray(), SmallPieceDetector()
-        while isinstance(event := await self._event(), h11.Data):
-            body += event.data
-            if pieces.too_small(len(event.data), self._reads):
+        while piece := await self._next_piece(decoder):
+            body += piece
+            if pieces.too_small(len(piece), decoder.chunks):
                 raise MalformedResponse("body in too small pieces")
             if (
                 len(body) > MAX_BUFFERED_BODY_BYTES
@@ -611,93 +621,76 @@
             return _error_outcome(head.status, head.fields)
         return Outcome("success", _cache_result(head.fields), body[: head.length] if left else body)
 
-    async def _read(self, may_end: bool = False) -> bytes:
-        """Return the next bytes, b"" at the end of the connection.
-
-        Raises ConnectionResetError there unless `may_end`: the response is incomplete.
-        """
+    async def _read(self) -> bytes:
+        """Return the next bytes. Raises ConnectionResetError at the end of the connection."""
         assert self._stream is not None
-        if not (data := await self._stream.read()) and not may_end:
+        if not (data := await self._stream.read()):
             raise ConnectionResetError("connection closed before the end of the response")
         return data
 
     async def _stream_response(
-        self, pipe: BodyPipe, size: int, length: Optional[int], cache_result: int
+        self, pipe: BodyPipe, head: ResponseHead, decoder: BodyDecoder, length: Optional[int]
     ) -> Outcome:
-        """Pass on the `size` bytes that the pipe holds, then the rest as it arrives.
+        """Pass on what the pipe holds, then the rest as it arrives.
 
         From here on the response can only be completed or cut off, never replaced.
         """
         assert self._stream is not None
+        cache_result = _cache_result(head.fields)
         if not self._owner.on_response_started(
             self, Response(200, body_rest=pipe, length=length), cache_result
         ):
             raise NotSent("response no longer wanted")
         self._response_pipe = pipe
-        self.streamed_bytes = size
         self._timeout.reschedule(None)
         pieces = SmallPieceDetector()
         while True:
             self._stream.read_limit = self._owner.transfer_read_limit(LARGE_BODY_READ_BYTES)
             async with asyncio.timeout(STALL_TIMEOUT_S):
-                event = await self._event()
-            if not isinstance(event, h11.Data):
+                piece = await self._next_piece(decoder)
+            self.streamed_bytes = decoder.decoded_bytes
+            if not piece:
                 break
-            self.streamed_bytes += len(event.data)
-            if self.streamed_bytes > MAX_BODY_BYTES or pieces.too_small(
-                len(event.data), self._reads
+            if decoder.decoded_bytes > MAX_BODY_BYTES or pieces.too_small(
+                len(piece), decoder.chunks
             ):
                 raise MalformedResponse("body over the size limit or in too small pieces")
-            if not await pipe.put(event.data):
+            if not await pipe.put(piece):
                 raise ConnectionAbortedError("the client has left")
+            del piece  # the pipe has it
+        self._note_complete(head, decoder)
         pipe.end()
         return Outcome("success", cache_result)
 
-    async def _read_error_body(self) -> None:
+    async def _read_error_body(self, head: ResponseHead, decoder: BodyDecoder) -> None:
         """Read a short error response to its end, so that the connection can be kept.
 
         The head alone decides the outcome, so a long or incomplete body is given up.
         """
-        with suppress(OSError, h11.RemoteProtocolError):
-            for _ in range(8):
-                if not isinstance(await self._event(), h11.Data):
+        if not decoder.ends_within_connection:
+            return
+        with suppress(OSError, MalformedBody):
+            for _ in range(MAX_ERROR_BODY_READS):
+                if not await self._next_piece(decoder):
+                    self._note_complete(head, decoder)
                     return
 
-    async def _event(self) -> h11.Event | type[h11.PAUSED]:
-        assert self._parser is not None
-        while (event := self._parser.next_event()) is h11.NEED_DATA:
-            if self._parser.their_state is h11.SEND_RESPONSE:
-                _check_version(self._parser.trailing_data[0])
-            # FIN completes a response with neither a length nor chunks; a reset raises an error.
-            ended = self._until_close and self._parser.their_state is h11.SEND_BODY
-            self._parser.receive_data(await self._read(may_end=ended))
-            self._reads += 1
-        return event  # type: ignore[return-value]
-
     def _release(self) -> None:
         """Keep the connection if both sides completed the exchange, else close it."""
-        stream, parser = self._stream, self._parser
+        stream = self._stream
         # The pool owns the connection from here on. `abort` may still be called until the end of
         # this task is noticed, and must not close a connection that is idle or that another
         # attempt uses by then.
         self._stream = None
         if stream is None or stream.closed:
             return
-        if parser is None:
-            clean = self._response_complete
-        else:
-            clean = (
-                parser.our_state is h11.DONE
-                and parser.their_state is h11.DONE
-                and not parser.trailing_data[0]
-            )
-        if not self._any_sent or (self._all_sent and clean):
+        if not self._any_sent or (self._all_sent and self._response_complete):
             self._pool.keep(self.server, stream)
         else:
             self._pool.drop(stream)
 
 
-def _error_outcome(status: int, headers: dict[bytes, bytes]) -> Outcome:
+def _error_outcome(status: int, headers: Fields) -> Outcome:
     """Return the outcome for a response other than 200, from its status and X-Turned-Away.
 
     That header has the value 1 where the server rejected the request for overload and did not run
@@ -707,28 +700,19 @@
     return Outcome("overloaded" if turned_away else "failure")
 
 
-def _cache_result(headers: dict[bytes, bytes]) -> int:
+def _cache_result(headers: Fields) -> int:
     """Return the cache result that the server reports, 0 if it reports none."""
     return CACHE_RESULTS.get(headers.get(b"x-found", b"").strip().lower(), 0)
 
 
-def _check_version(head: bytes) -> None:
-    """Raise MalformedResponse if the first bytes can't begin a response.
-
-    Otherwise the node would read on through random bytes for the end of a status line.
-    """
-    if head[: len(VERSION_PREFIX)] != VERSION_PREFIX[: len(head)]:
-        raise MalformedResponse("not HTTP")
-
-
-def _content_length(headers: dict[bytes, bytes]) -> Optional[int]:
+def _content_length(head: ResponseHead) -> Optional[int]:
     """Return a response's length in bytes (RFC 9112, 6.3).
 
     None stands for a response that is chunked or ends with its connection.
     Raises MalformedResponse for a length over MAX_BODY_BYTES, since the body would keep coming,
     and for a length together with chunks, which leaves the end of the body ambiguous.
     """
-    content_length, chunked = headers.get(b"content-length"), b"transfer-encoding" in headers
-    if content_length is not None and (chunked or int(content_length) > MAX_BODY_BYTES):
+    content_length = head.fields.get(b"content-length")
+    if content_length is not None and (head.chunked or int(content_length) > MAX_BODY_BYTES):
         raise MalformedResponse("Content-Length over the limit or with Transfer-Encoding")
     return None if content_length is None else int(content_length)
--- a/testbed/crowd/__main__.py
+++ b/testbed/crowd/__main__.py
@@ -15,10 +15,12 @@
 from testbed.crowd.clients import Kind
 from testbed.crowd.run import CrowdPlan, play
 
+KINDS = [*(kind.value for kind in Kind), "mixed", "all"]
+
 
 @click.command()
 @click.option(
-    "--kind", "kinds", multiple=True, type=click.Choice([*Kind, "mixed", "all"]),
+    "--kind", "kinds", multiple=True, type=click.Choice(KINDS),
     default=["all"], show_default=True, help="Kinds of clients; `all` plays each and the mix.",
 )  # fmt: skip
 @click.option("--clients", default=330, show_default=True, help="Demanding clients at once.")
