Bodies: chunks of one size in a row are decoded as a run

Change: from 16 chunks with the same header on, the regular expression engine takes up to 256 at once; the bound of one turn stays. Two thirds of the time had gone into a loop of Python (profile of the node). The stand-in server closed unframed answers over unwritten bytes, which looked like a cut; it waits now.

--- a/corkshift/bodies.py
+++ b/corkshift/bodies.py
@@ -16,6 +16,11 @@
 
 MAX_CHUNKS_PER_CALL = 2_048
 CRLF = b"\r\n"
+# Chunks in a row with the same header from which they are decoded as a run, how many at once, and
+# the largest for which that saves time.
+MIN_RUN_CHUNKS = 16
+MAX_RUN_CHUNKS = MAX_CHUNKS_PER_CALL // 8
+MAX_RUN_CHUNK_BYTES = 512
 # Limit of a chunk's header and of the trailer section.
 MAX_CHUNK_HEADER_BYTES = 16_384
 
@@ -149,10 +154,23 @@
     def _read_chunks(self, data: bytes, position: int, pieces: list[bytes]) -> int:
         """Decode chunks from the start of one; return the position behind what was decoded."""
         line, line_bytes, size = b"", 0, 0
-        chunks = self.chunks
+        chunks, alike = self.chunks, 0
         while chunks < MAX_CHUNKS_PER_CALL:
             # Chunks in a row mostly have the same size, so the same header.
-            if not line or not data.startswith(line, position):
+            if line and data.startswith(line, position):
+                alike += 1
+                if (
+                    alike >= MIN_RUN_CHUNKS
+                    and size <= MAX_RUN_CHUNK_BYTES
+                    and chunks + MAX_RUN_CHUNKS <= MAX_CHUNKS_PER_CALL
+                ):
+                    found, position = _read_run(data, position, line, size)
+                    pieces += found
+                    chunks += len(found)
+                    alike = MIN_RUN_CHUNKS if found else 0
+                    continue
+            else:
+                alike = 0
                 header = _CHUNK_HEADER.match(data, position)
                 if header is None:
                     _check_partial_header(data, position)
@@ -209,6 +227,18 @@
         self.complete = True
 
 
+def _read_run(data: bytes, position: int, line: bytes, size: int) -> tuple[list[bytes], int]:
+    """Decode chunks in a row that have the same header line; return them and the position behind.
+
+    The regular expression engine takes a fraction of the time of a loop.
+    """
+    one = re.escape(line) + b"(.{%d})\r\n" % size
+    run = re.compile(b"(?:%b){0,%d}+" % (one, MAX_RUN_CHUNKS), re.DOTALL).match(data, position)
+    if run is None or run.end() == position:
+        return [], position
+    return re.compile(one, re.DOTALL).findall(data, position, run.end()), run.end()
+
+
 def _check_partial_header(data: bytes, position: int) -> None:
     """Raise MalformedBody if what begins at a position can't become a chunk's header."""
     if _PARTIAL_CHUNK_HEADER.fullmatch(data, position) is None:
--- a/testbed/crowd/servers.py
+++ b/testbed/crowd/servers.py
@@ -191,10 +191,12 @@
         if spec.end is End.WHOLE:
             if spec.framing is Framing.CHUNKED:
                 writer.write(b"0\r\n\r\n")
-            if spec.framing is Framing.CLOSE:
-                writer.write_eof()
             await writer.drain()
-            return spec.framing is not Framing.CLOSE
+            if spec.framing is not Framing.CLOSE:
+                return True
+            writer.close()  # an abort would discard what is not written yet
+            await writer.wait_closed()
+            return False
         self.broken_s[txn] = asyncio.get_running_loop().time()
         if spec.end is End.NOISE:
             writer.write(NOISE)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -83,10 +83,17 @@
     return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
 
 
-CHUNKS = st.builds(
-    chunk,
-    st.binary(min_size=1, max_size=40),
-    st.sampled_from([b"", b" ", b"\t ", b";a=b", b'; x="y"', b";\rz", b" ;a", b"\n"]),
+def in_a_row(data: bytes, count: int) -> bytes:
+    return chunk(data) * count
+
+
+CHUNKS = st.one_of(
+    st.builds(in_a_row, st.binary(min_size=1, max_size=20), st.integers(15, 60)),
+    st.builds(
+        chunk,
+        st.binary(min_size=1, max_size=40),
+        st.sampled_from([b"", b" ", b"\t ", b";a=b", b'; x="y"', b";\rz", b" ;a", b"\n"]),
+    ),
 )
 ENDS = st.sampled_from(
     [
@@ -97,7 +104,7 @@
 )  # fmt: skip
 
 
-@given(st.lists(CHUNKS, max_size=6), ENDS, st.lists(st.integers(0, 400), max_size=12))
+@given(st.lists(CHUNKS, max_size=6), ENDS, st.lists(st.integers(0, 3_000), max_size=12))
 def test_chunked_bodies_are_decoded_as_h11_decodes_them(
     chunks: list[bytes], end: bytes, at: list[int]
 ) -> None:
