Large answers: one that has begun is passed on before the attempt's time is over

Cause: Attempt._buffer_body decided to pass an answer on only when a piece arrived. While a server rested behind the head or the first bytes, the attempt's limit (the class's promise) ran as if nothing had come, and the module gave up. A length over 64 KiB stood in the head and was not acted on.

Change: forkweir/limits/response_start.py (pure) says when: an announced length over 64 KiB with its first bytes; one of unknown length when a piece comes after half of the attempt's time, as before; either at seven eighths of it while the server rests, so that a hedge that was sent has been answered. The head goes to the client at once.

Weighed: an answer of unknown length that rests may be small, and small ones count by their last byte. So a request that may not be repeated gets its failure in time as before (tests/test_unframed_responses.py holds that), and one that has been passed on may rest until 2 s or 0.4 s after its client's deadline, whichever is later, until more than 64 KiB have come (10 s then, as before). A retry of a break between head and first bytes stays possible.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -581,6 +581,9 @@
         keep = keep and (chunked or response.length is not None)
         head = _response_head(response, keep, chunked)
         try:
+            if not body_rest.queued_bytes:  # the server rests behind the head
+                await self._write(head)
+                head = b""
             while (piece := await body_rest.get()) is not None:
                 data = b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece
                 if head:
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -71,6 +71,9 @@
             for spec in config.settings.classes
             if spec.repeat == "keyed"
         }
+        self._repeatable_classes = {
+            spec.name for spec in config.settings.classes if spec.repeat == "safe"
+        }
         self._id_memory_ms = max(
             MIN_ID_MEMORY_MS, max(self._deadlines.values(), default=0.0) + ID_MEMORY_MARGIN_MS
         )
@@ -418,6 +421,10 @@
             request.check_departure()
         return self.guard.check(self._send_state(request, server, announced_ms), now_ms())
 
+    def may_repeat(self, request: ClientRequest) -> bool:
+        """See AttemptOwner."""
+        return request.class_name in self._repeatable_classes
+
     def on_last_byte_written(
         self, request: ClientRequest, server: CacheServer, announced_ms: int
     ) -> None:
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -33,6 +33,7 @@
 from corkshift.seam.errors import LOCAL_ERRNOS, error_name
 from corkshift.stream import KERNEL_BUFFER_BYTES, READ_BYTES, Stream
 from forkweir.limits.lifecycle import shared_limit
+from forkweir.limits.response_start import PassOnTimes, longest_rest_ms, pass_on_times
 from forkweir.send_guard import Denial, announced_wait_ms
 
 # Reads of an error response's body, which is read only to keep the connection.
@@ -250,6 +251,9 @@
         announced_ms: the remaining time announced in the request's head; 0 if there is none yet.
         """
 
+    def may_repeat(self, request: ClientRequest) -> bool:
+        """Whether a request may be sent again or refused whatever has run."""
+
     def list_unread(self) -> bool:
         """Whether bytes from discovery, perhaps a drain, may be unread after event loop lag."""
 
@@ -544,7 +548,7 @@
             self._note_complete(head, decoder)
             return Outcome("success", _cache_result(head.fields), bytes(body))
         pipe = BodyPipe()
-        await pipe.put(bytes(body))  # the pipe is empty, so this doesn't wait
+        await pipe.put(bytes(body))  # the pipe is empty, so this doesn't wait; no bytes, no piece
         del body  # held by the pipe alone, so that it is freed once it is written
         return await self._stream_response(pipe, head, decoder, length)
 
@@ -588,20 +592,38 @@
 
         Returns what was read, and whether it is complete.
         """
-        half_ms = now_ms() + self._within_ms / 2.0
-        body, pieces = bytearray(), SmallPieceDetector()
-        while piece := await self._next_piece(decoder):
-            body += piece
-            if pieces.too_small(len(piece), decoder.chunks):
-                raise MalformedResponse("body in too small pieces")
-            if (
-                len(body) > MAX_BUFFERED_BODY_BYTES
-                or (length is not None and length > MAX_BUFFERED_BODY_BYTES)
-                or (length is None and now_ms() > half_ms)
-            ):
-                return body, False
+        times = self._pass_on_times(length)
+
+        async def read() -> bytes:
+            at_rest_ms = None if times is None else times.at_rest_ms
+            async with asyncio.timeout_at(None if at_rest_ms is None else at_rest_ms / 1000.0):
+                return await self._read_body_input()
+
+        loop, body, pieces = asyncio.get_running_loop(), bytearray(), SmallPieceDetector()
+        try:
+            while piece := await next_piece(decoder, read):
+                body += piece
+                if pieces.too_small(len(piece), decoder.chunks):
+                    raise MalformedResponse("body in too small pieces")
+                if len(body) > MAX_BUFFERED_BODY_BYTES or (
+                    times is not None and 1000.0 * loop.time() >= times.with_input_ms
+                ):
+                    return body, decoder.complete
+        except TimeoutError:
+            return body, False
         return body, True
 
+    def _pass_on_times(self, length: Optional[int]) -> Optional[PassOnTimes]:
+        """When the response is passed on before it is complete, on the loop's clock.
+
+        None for one that is small enough to be buffered.
+        """
+        if length is not None and length <= MAX_BUFFERED_BODY_BYTES:
+            return None
+        now = 1000.0 * asyncio.get_running_loop().time()
+        repeatable = self._owner.may_repeat(self.request)
+        return pass_on_times(now, self._left_ms(), length is not None, repeatable)
+
     async def _receive_simple(self, data: bytes) -> Optional[Outcome]:
         """Return the outcome of a short response in simple form; None leaves `data` to h11."""
         head = response_head(data)
@@ -646,7 +668,7 @@
         pieces = SmallPieceDetector()
         while True:
             self._stream.read_limit = self._owner.transfer_read_limit(LARGE_BODY_READ_BYTES)
-            async with asyncio.timeout(STALL_TIMEOUT_S):
+            async with asyncio.timeout(self._stall_timeout_s(decoder, length)):
                 piece = await self._next_piece(decoder)
             self.streamed_bytes = decoder.decoded_bytes
             if not piece:
@@ -662,6 +684,12 @@
         pipe.end()
         return Outcome("success", cache_result)
 
+    def _stall_timeout_s(self, decoder: BodyDecoder, length: Optional[int]) -> float:
+        """Return how long a response that is passed on may rest."""
+        if length is not None or decoder.decoded_bytes > MAX_BUFFERED_BODY_BYTES:
+            return STALL_TIMEOUT_S
+        return longest_rest_ms(self.request.left_ms()) / 1000.0
+
     async def _read_error_body(self, head: ResponseHead, decoder: BodyDecoder) -> None:
         """Read a short error response to its end, so that the connection can be kept.
 
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -11,6 +11,7 @@
     Rig,
     default_answer,
     ok_response,
+    options_of,
     request,
     rig,
     run_async,
@@ -31,9 +32,11 @@
     `written` counts the bytes written.
     """
 
-    def __init__(self, first: bytes, second: bytes) -> None:
+    def __init__(self, first: bytes, second: bytes, closes: bool = False) -> None:
+        """closes: the connection ends behind the second part."""
         super().__init__()
         self.parts = first, second
+        self.closes = closes
         self.go = asyncio.Event()
         self.written = 0
         self.disconnected = asyncio.Event()
@@ -44,6 +47,8 @@
             await self._write(connection, self.parts[0])
             await self.go.wait()
             await self._write(connection, self.parts[1])
+            if self.closes:
+                connection.stream.close()
         except OSError:
             self.disconnected.set()
             raise
@@ -485,3 +490,35 @@
             assert made.metrics.cut_answers == {"broken": 1}
 
     run_async(test)
+
+
+@pytest.mark.parametrize("form", ["sized", "chunked", "until close"])
+@pytest.mark.parametrize("first_bytes", [0, 9_000, 60_000])
+def test_a_large_response_is_passed_on_while_its_server_rests(form: str, first_bytes: int) -> None:
+    # The server rests until long after the attempt's time, which is that of the client.
+    async def test() -> None:
+        body = BODY[:160_000]
+        head = {
+            "sized": b"Content-Length: %d\r\n" % len(body),
+            "chunked": b"Transfer-Encoding: chunked\r\n",
+            "until close": b"",
+        }[form]
+        if form == "chunked":
+            first = chunks(body[:first_bytes])[:-5]
+            second = chunks(body[first_bytes:])
+        else:
+            first, second = body[:first_bytes], body[first_bytes:]
+        closes = form == "until close"
+        box = TwoPartServer(b"HTTP/1.1 200 OK\r\n%b\r\n" % head + first, second, closes)
+        async with rig({"s0": box}, options=options_of(allowed={"mostTries": 1})) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+            writer.write(request("a", "Connection: close\r\n", class_name="brisk", within_ms=1_000))
+            async with asyncio.timeout(1.0):
+                assert status(await reader.readuntil(b"\r\n\r\n")) == 200
+            await asyncio.sleep(0.5)
+            box.go.set()
+            data = await reader.read(-1)
+            assert (body if form == "sized" else unchunked(data)) == body
+            writer.transport.abort()
+
+    run_async(test)
--- a/tests/testbed/test_hard_cases.py
+++ b/tests/testbed/test_hard_cases.py
@@ -119,6 +119,9 @@
     ) -> Denial | None:
         return None
 
+    def may_repeat(self, request: ClientRequest) -> bool:
+        return True
+
     def list_unread(self) -> bool:
         return False
 
