A broken answer ends its client's connection at once, also while a write waits for it

What callers saw: a client that takes an answer slowly, or does not read at that moment, learnt up to 5 s late (WRITE_TIMEOUT_S) that its server had broken the answer off.

Cause: the end of the attempt set a flag in the pipe, which the front end looked at after its present write.

Change: the pipe calls its consumer when its producer gives up; the front end resets the connection then. What is unwritten is lost with it: the answer can't be completed, and the client must be able to tell. Walked beside it: end and close of a pipe, the last piece, pipelined answers behind another (the reset ends the connection with all of them, as before), a shutdown (answers under way end by reset at exit_ms, as before).

Still so: while a client reads nothing and a piece waits in the pipe, the node does not read its server, and so does not learn of a break; WRITE_TIMEOUT_S bounds that.

Evidence: tests/test_bulk.py::test_a_client_that_reads_nothing_sees_the_end_of_a_broken_response_at_once failed before (1 failed), passes now.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -580,6 +580,8 @@
         chunked = response.length is None and not exchange.http_1_0
         keep = keep and (chunked or response.length is not None)
         head = _response_head(response, keep, chunked)
+        # A write may wait for the client, who must see at once that the rest won't come.
+        body_rest.on_fail = self._stream.abort
         try:
             if not body_rest.queued_bytes:  # the server rests behind the head
                 await self._write(head)
--- a/corkshift/relay.py
+++ b/corkshift/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Optional
 
 
@@ -14,16 +15,18 @@
     """A queue of one piece of a body, between its producer and its consumer.
 
     `put` waits while a piece is queued, and `get` waits for one. Either side may give up, which
-    wakes the other at once. The producer bounds the size of the pieces.
+    wakes the other at once. The producer bounds the size of the pieces. `on_fail` is called when
+    the producer gives up, whatever the consumer is doing with an earlier piece.
     """
 
-    __slots__ = ("_piece", "_complete", "_broken", "_closed", "_writable", "_readable")
+    __slots__ = ("_piece", "_complete", "_broken", "_closed", "_writable", "_readable", "on_fail")
 
     def __init__(self) -> None:
         self._piece: Optional[bytes] = None
         self._complete = False
         self._broken = False
         self._closed = False
+        self.on_fail: Optional[Callable[[], None]] = None
         # One future per side: a woken task runs later, when the other side may be waiting already.
         self._writable: Optional[asyncio.Future[None]] = None
         self._readable: Optional[asyncio.Future[None]] = None
@@ -56,6 +59,8 @@
         """Mark the body as aborted, unless it is complete."""
         self._broken = not self._complete
         _wake(self._readable)
+        if self._broken and not self._closed and self.on_fail is not None:
+            self.on_fail()
 
     # -- consumer ------------------------------------------------------------------------
 
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -20,6 +20,7 @@
 )
 
 from corkshift.budget import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES
+from corkshift.frontend import ClientConnection
 from corkshift.relay import BodyAborted, BodyPipe
 from testbed.systems.http import Connection, Message
 
@@ -492,6 +493,42 @@
     run_async(test)
 
 
+class StallingServer(CacheBox):
+    """A box that begins a large response and writes on until `stop` is set, then nothing more."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stop = asyncio.Event()
+
+    async def serve(self, connection: Connection, request: Message) -> None:
+        await connection.stream.write(sized(bytes(8 << 20))[:200])
+        while not self.stop.is_set():
+            await connection.stream.write(bytes(4_096))
+            await asyncio.sleep(0.005)
+        await asyncio.get_running_loop().create_future()
+
+
+def test_a_client_that_reads_nothing_sees_the_end_of_a_broken_response_at_once() -> None:
+    async def test() -> None:
+        box = StallingServer()
+        async with rig({"s0": box}) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.port, limit=4_096)
+            writer.write(request("a"))
+            await reader.readuntil(b"\r\n\r\n")
+            connection = next(iter(made.frontend._connections))
+            assert isinstance(connection, ClientConnection)
+            await until(lambda: connection._stream._writer is not None)
+            box.stop.set()
+            await asyncio.sleep(0.1)
+            assert connection._stream._writer is not None
+            box.close()
+            async with asyncio.timeout(0.2):
+                await until(lambda: made.frontend.connection_count == 0)
+            writer.transport.abort()
+
+    run_async(test)
+
+
 @pytest.mark.parametrize("form", ["sized", "chunked", "until close"])
 @pytest.mark.parametrize("first_bytes", [0, 9_000, 60_000])
 def test_a_large_response_is_passed_on_while_its_server_rests(form: str, first_bytes: int) -> None:
