Memory: one budget for all that connections hold; uploads are streamed early, not refused

Cause: buffered bodies and transfers had budgets of their own, as shares of the whole limit; connections, first reads, partial heads and buffered answers had none. An upload's first 64 KiB stayed charged until its response, though they had been written on.

Change: ConnectionAllowance divides a share (0.4) of what the limit leaves beside the process (measured when the node begins to serve) by the connections that may hold something: a third of the descriptors, or more if more are open. It bounds each read, buffered body, buffered answer and piece of a transfer; what may not be held waits with its sender. A PUT that reaches its share is streamed (no retry from there) instead of refused; an answer over it is passed on early. Room is given back once the bytes are written. Lingering connections read 4 KiB at a time. BodyBudget stays as the count of buffered bodies.

--- a/corkshift/budget.py
+++ b/corkshift/budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Optional
+
 # Largest body that is buffered completely, in either direction. Larger ones are streamed.
 MAX_BUFFERED_BODY_BYTES = 65_536
 # A body in more pieces than this must have pieces of the minimum average size, since each one-byte
@@ -12,6 +14,15 @@
 MAX_BODY_BYTES = 1 << 25
 # Pieces of one streamed body that the node holds at most: read, parsed, queued and being written.
 PIECES_PER_TRANSFER = 5
+# Memory of the process where the system can't tell it.
+PROCESS_BYTES = 20 << 20
+# Share of the free memory for what connections hold, and of the limit if hardly any is free.
+BUFFER_SHARE = 0.4
+MIN_BUFFER_SHARE = 1 / 16
+# Shares of a connection's bytes for its buffered body, and for each of two reads: one that waits
+# and one that is being parsed.
+BODY_SHARE = 1 / 2
+READ_SHARE = 1 / 4
 # Smallest limit of one read, below which each byte would cost too much processor time.
 MIN_READ_BYTES = 4_096
 
@@ -66,18 +77,51 @@
         self.used -= size
 
 
-class TransferBudget:
-    """Limits the bytes of messages on their way between sockets, by the size of single reads.
+class ConnectionAllowance:
+    """How much each client connection may make the node hold, whatever it is used for.
 
-    The more transfers are open, the less is read at once for each of them. The rest waits with the
-    sender (TCP flow control), so that no request has to be refused for it.
+    One budget, a share of what the memory limit leaves beside the process itself, is divided by the
+    number of connections that may hold something at once. So any mix of partly read messages,
+    buffered bodies and transfers stays within it. The rest of the limit is for the objects of the
+    connections. What a connection may not hold waits with its sender (TCP flow control): nothing
+    is refused for it.
     """
 
-    def __init__(self, limit: int) -> None:
-        """limit: bytes for all open transfers together."""
+    def __init__(self, limit: int, process_bytes: Optional[int], connections: int) -> None:
+        """limit: of the process's memory, in bytes. process_bytes: what it uses without
+        connections, None if unknown. connections: that may hold something at once.
+        """
         self._limit = limit
-
-    def read_limit(self, most: int, open_transfers: int) -> int:
-        """Return the limit of one read, `most` at most."""
-        share = self._limit // (PIECES_PER_TRANSFER * max(1, open_transfers))
-        return min(most, max(MIN_READ_BYTES, share))
+        self._process_bytes = PROCESS_BYTES if process_bytes is None else process_bytes
+        self._connections = max(1, connections)
+        self.open_connections = 0  # of clients
+        self.other_processes = 0  # of this node, which share its limit
+
+    @property
+    def total(self) -> int:
+        """Bytes for all connections together."""
+        free = self._limit - self._process_bytes * (1 + self.other_processes)
+        return max(int(BUFFER_SHARE * free), int(MIN_BUFFER_SHARE * self._limit))
+
+    @property
+    def each(self) -> int:
+        """Bytes for one connection."""
+        return max(MIN_READ_BYTES, self.total // max(self._connections, self.open_connections))
+
+    def set_process_bytes(self, process_bytes: Optional[int]) -> None:
+        """Set what the process uses without connections; None leaves it as it is."""
+        if process_bytes is not None:
+            self._process_bytes = process_bytes
+
+    @property
+    def buffer_limit(self) -> int:
+        """Return the largest body that is buffered completely."""
+        return min(MAX_BUFFERED_BODY_BYTES, max(MIN_READ_BYTES, int(self.each * BODY_SHARE)))
+
+    def read_limit(self, most: int) -> int:
+        """Return the limit of one read of a message whose size isn't known, `most` at most."""
+        return min(most, max(MIN_READ_BYTES, int(self.each * READ_SHARE)))
+
+    def transfer_read_limit(self, most: int) -> int:
+        """Return the limit of one read of a body that is streamed, `most` at most."""
+        return min(most, max(MIN_READ_BYTES, self.each // PIECES_PER_TRANSFER))
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -130,6 +130,7 @@
         self._large_exchange: Optional[Exchange] = None
         self._arrival: Optional[BodyArrival] = None  # of the large body that is being forwarded
         self._stream = Stream(sock)
+        self._stream.read_limit = frontend.node.read_limit(READ_BYTES)
         self._stream.on_input = self._on_input
         self._reader: Optional[asyncio.Task[None]] = None
         self._task = asyncio.create_task(self._serve())
@@ -280,6 +281,7 @@
         Returns the bytes read of the next request, or None if no other request may follow.
         """
         # Empty lines ahead of a request are allowed (RFC 9112, 2.2).
+        self._stream.read_limit = self._frontend.node.read_limit(READ_BYTES)
         while not (data := data.lstrip(b"\r\n")):
             self._mark_idle()
             if not (data := await self._stream.read()):
@@ -290,7 +292,6 @@
         if self.served or self._pending:
             self.since_ms = now_ms()
         self._frontend.mark_partial(self)
-        self._stream.read_limit = self._frontend.node.read_limit(READ_BYTES)
         parser = RequestHeadParser()
         while (head := parser.receive(data)) is None:
             if not (data := await self._stream.read()):
@@ -377,19 +378,24 @@
         pipe with the first piece that is not buffered. Raises Rejected.
         """
         body_budget, buffered = self._frontend.body_budget, 0
+        can_stream = request is not None and request.method == b"PUT"
+        limit = self._frontend.node.buffer_limit if can_stream else MAX_BUFFERED_BODY_BYTES
         try:
             detector, progress_bytes = SmallPieceDetector(), 0
             while piece := await next_piece(decoder, self._stream.read):
                 piece_bytes = len(piece)
                 if detector.too_small(piece_bytes, decoder.chunks):
                     raise Rejected(400)
-                if buffered + piece_bytes > MAX_BUFFERED_BODY_BYTES:
-                    if request is None or request.method != b"PUT":
-                        raise Rejected(413)
+                if can_stream and (
+                    buffered + piece_bytes > limit or not body_budget.reserve(piece_bytes)
+                ):
                     body_rest = BodyPipe()
                     await body_rest.put(piece)  # it is empty, so this doesn't wait
                     return buffered, body_rest
-                self._reserve_body(request, piece_bytes)
+                if not can_stream:
+                    if buffered + piece_bytes > limit:
+                        raise Rejected(413)
+                    self._reserve_body(request, piece_bytes)
                 buffered += piece_bytes
                 if buffered - progress_bytes >= MIN_PROGRESS_BYTES:
                     progress_bytes, self.since_ms = buffered, now_ms()
@@ -425,7 +431,9 @@
             body_budget.release(buffered)
             raise ConnectionAbortedError("the client has left")
         if buffered:  # nearly all requests have no body, so nothing to release
-            request.response.add_done_callback(lambda _: self._release_body(request, buffered))
+            request.buffered_bytes = buffered
+            request.release_body = self._release_body
+            request.response.add_done_callback(lambda _: self._release_body(request))
         self._requests[request.response] = request
         request.check_departure = self.check_departure
         self._frontend.node.submit(request, self._waited_ms())
@@ -521,10 +529,11 @@
             return False
         finally:
             self._arrival = None
-            self._stream.read_limit = READ_BYTES
+            self._stream.read_limit = self._frontend.node.read_limit(READ_BYTES)
 
-    def _release_body(self, request: ClientRequest, buffered: int) -> None:
+    def _release_body(self, request: ClientRequest) -> None:
         request.body.clear()
+        buffered, request.buffered_bytes = request.buffered_bytes, 0
         self._frontend.body_budget.release(buffered)
 
     async def _read_body_input(self) -> bytes:
@@ -651,6 +660,7 @@
 
     def start(self) -> None:
         """Start to accept connections and to enforce their time limits."""
+        self.node.allowance.set_process_bytes(seam.memory_bytes())
         self._listener.start()
         self.started = True
         self._sweep()
@@ -761,6 +771,7 @@
         """Remove a closed connection and resume accepting."""
         self.mark_busy(connection)
         self._connections.pop(connection, None)
+        self.node.allowance.open_connections = self.connection_count
         if not self._connections:
             self._all_closed.set()
         self._listener.resume()
@@ -774,6 +785,7 @@
     def _accept(self, sock: Socket) -> None:
         connection = ClientConnection(self, sock, self._listener.queued_ms)
         self._connections[connection] = self._unused[connection] = None
+        self.node.allowance.open_connections = self.connection_count
 
     def _evict_one(self) -> bool:
         """Close one connection without an open request; return whether there was one.
--- a/corkshift/messages.py
+++ b/corkshift/messages.py
@@ -40,6 +40,7 @@
     work_ms: float
     repeated: bool
     body: list[bytearray] = field(default_factory=list)
+    buffered_bytes: int = 0  # of the body, reserved in the budget of bodies
     # Source of the remaining body if it is too large to buffer; `body` is then its first part, and
     # is emptied once bytes of the rest have been consumed.
     body_rest: Optional[BodyPipe] = None
@@ -63,6 +64,8 @@
     backstop_turns: int = 0  # turns of the event loop for which that was put off
     # Checks with the kernel whether the client is connected, and cancels the request if not.
     check_departure: Callable[[], None] = lambda: None
+    # Releases the memory reserved for `body`, once nothing holds it any more.
+    release_body: Callable[[ClientRequest], None] = lambda request: None
 
     @property
     def open(self) -> bool:
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -8,7 +8,8 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Optional
 
-from corkshift.budget import TransferBudget
+from corkshift import seam
+from corkshift.budget import ConnectionAllowance
 from corkshift.config import Config
 from corkshift.messages import ClientRequest, Response
 from corkshift.seam import Address, now_ms
@@ -44,8 +45,8 @@
 MAX_BACKSTOP_DELAY_MS = 250.0
 # A timer that fires less than this ahead of its time counts as due.
 BACKSTOP_TOLERANCE_MS = 2.0
-# Bytes of messages on their way between sockets, per megabyte of the memory limit.
-TRANSFER_BYTES_PER_MB = (1 << 20) // 4
+# Clients hold a third of the descriptors at most for requests.
+DESCRIPTORS_PER_REQUEST = 3
 
 
 class Node:
@@ -62,7 +63,11 @@
         self._loop_lag = pool.loop_lag
         self._max_open = max_open
         self.memory_limit_bytes = config.memory_mb << 20
-        self._transfer_budget = TransferBudget(config.memory_mb * TRANSFER_BYTES_PER_MB)
+        self.allowance = ConnectionAllowance(
+            self.memory_limit_bytes,
+            seam.memory_bytes(),
+            config.sockets // DESCRIPTORS_PER_REQUEST,
+        )
         self._balancer = Balancer(config.settings, config.seed)
         self.guard = SendGuard(config.drain_grace_ms)
         self._deadlines = {spec.name: spec.deadline_ms for spec in config.settings.classes}
@@ -107,12 +112,17 @@
         return len(self._requests) + len(self._streams)
 
     def read_limit(self, most: int) -> int:
-        """See AttemptOwner. All open requests may have large bodies."""
-        return self._transfer_budget.read_limit(most, self.open)
+        """See AttemptOwner."""
+        return self.allowance.read_limit(most)
+
+    @property
+    def buffer_limit(self) -> int:
+        """See AttemptOwner."""
+        return self.allowance.buffer_limit
 
     def transfer_read_limit(self, most: int) -> int:
         """See AttemptOwner."""
-        return self._transfer_budget.read_limit(most, self.open_transfers)
+        return self.allowance.transfer_read_limit(most)
 
     @property
     def open_transfers(self) -> int:
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -35,7 +35,6 @@
 
 log = logging.getLogger("corkshift")
 
-BODY_BYTES_PER_MB = (1 << 20) // 8  # for request bodies, per megabyte of the memory limit
 # Between two checks whether a starting process may serve.
 READINESS_CHECK_S = 0.01
 # First calls of processes that share a listening socket, of a fleet that is upgraded at once.
@@ -73,7 +72,7 @@
         self.node = Node(config, self.pool, min(config.max_open, upstream))
         longest_ms = max((spec.deadline_ms for spec in config.settings.classes), default=0.0)
         self.frontend = Frontend(
-            self.node, self._listener(), sockets - upstream, config.memory_mb * BODY_BYTES_PER_MB,
+            self.node, self._listener(), sockets - upstream, self.node.allowance.total,
             self._shared_socket, ShutdownSchedule(longest_ms), self.loop_lag,
         )  # fmt: skip
         self.sources: Optional[Sources] = None
--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -23,6 +23,7 @@
 # Time that a closing connection waits for its peer's FIN, and input discarded meanwhile.
 LINGER_TIMEOUT_S = 1.0
 MAX_LINGER_BYTES = 262_144
+LINGER_READ_BYTES = 4_096
 
 # Value of SO_LINGER with which close() sends a reset.
 _RESET = struct.pack("ii", 1, 0)
@@ -240,6 +241,7 @@
         """
         try:
             self._sock.shutdown(socket.SHUT_WR)
+            self.read_limit = min(self.read_limit, LINGER_READ_BYTES)
             left = MAX_LINGER_BYTES
             async with asyncio.timeout(LINGER_TIMEOUT_S):
                 while left > 0 and (data := await self.read()):
--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -271,6 +271,10 @@
         most: the upper limit, in bytes.
         """
 
+    @property
+    def buffer_limit(self) -> int:
+        """The largest response that is buffered completely, in bytes."""
+
     def transfer_read_limit(self, most: int) -> int:
         """Return how much of a body that is streamed may be read at once, `most` at most."""
 
@@ -470,13 +474,15 @@
         while (piece := await body_rest.get()) is not None:
             if not request.body_consumed:
                 request.body_consumed = True
-                request.body.clear()  # no retry is possible, so it is not kept while `ahead` waits
+                request.body.clear()  # no retry is possible, so `ahead` alone keeps it
                 self._owner.on_body_consumed(request)
             self._any_sent = True
             if not await self._write_parts(stream, ahead):
                 body_rest.close()
                 return False
+            request.release_body(request)
             ahead = self._body_parts(piece)
+            del piece
         end = b"".join([*ahead, LAST_CHUNK if request.length is None else b""])
         ahead.clear()
         self._any_sent = True
@@ -489,10 +495,11 @@
         return [piece] if self.request.length is not None else [b"%x\r\n" % len(piece), piece, CRLF]
 
     async def _write_parts(self, stream: Stream, parts: list[bytes | bytearray]) -> bool:
-        """Write parts of a large body; return False if the server responds meanwhile."""
-        for part in parts:
-            if not await stream.write_within(STALL_TIMEOUT_S, part, until_input=True):
+        """Write parts of a large body and drop them; return False if the server responds first."""
+        while parts:
+            if not await stream.write_within(STALL_TIMEOUT_S, parts[0], until_input=True):
                 return False
+            del parts[0]
             self._body_progress_s = asyncio.get_running_loop().time()
         return True
 
@@ -606,7 +613,7 @@
                 body += piece
                 if pieces.too_small(len(piece), decoder.chunks):
                     raise MalformedResponse("body in too small pieces")
-                if len(body) > MAX_BUFFERED_BODY_BYTES or (
+                if len(body) > self._owner.buffer_limit or (
                     times is not None and 1000.0 * loop.time() >= times.with_input_ms
                 ):
                     return body, decoder.complete
@@ -619,7 +626,7 @@
 
         None for one that is small enough to be buffered.
         """
-        if length is not None and length <= MAX_BUFFERED_BODY_BYTES:
+        if length is not None and length <= self._owner.buffer_limit:
             return None
         now = 1000.0 * asyncio.get_running_loop().time()
         repeatable = self._owner.may_repeat(self.request)
@@ -631,8 +638,9 @@
         if head is None or head.length is None:
             return None
         body, left = data[head.end :], head.length - (len(data) - head.end)
-        if left > 0 and head.status != 200:
-            return None  # h11 parses it: the head alone decides, even if the body is cut off
+        if left > 0 and (head.status != 200 or head.length > self._owner.buffer_limit):
+            # The head alone decides, even if the body is cut off, or the body is streamed.
+            return None
         if left > 0:
             parts = [body]
             while left > 0:
--- a/tests/testbed/test_hard_cases.py
+++ b/tests/testbed/test_hard_cases.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from corkshift.budget import MAX_BUFFERED_BODY_BYTES
 from corkshift.messages import ClientRequest, Response
 from corkshift.metrics import Metrics
 from corkshift.upstream import Attempt, CacheServer, Outcome, Pool
@@ -137,6 +138,7 @@
         return most
 
     transfer_read_limit = read_limit
+    buffer_limit = MAX_BUFFERED_BODY_BYTES
 
     def on_response_started(self, attempt: Attempt, answer: Response, cache_result: int) -> bool:
         raise AssertionError("the answer is held whole")
