Upgrades: an id is the node's, known to both processes before either sends it on

Cause: ids were remembered by a process, for 5 s; the journals of an upgrade carried departures, drains and connections only.

Both write before they read, so of two that get one id at once one at least refuses. An id that can't be written is refused (503, cause unclaimed). A process that notices another tells it all ids it remembers, ends that with a greeting, and the new one serves only then (1.5 s at most, for a predecessor of an older release). Ids are remembered for 60 s, 8,192 at most: PROTOCOL has ids new with every request, so no time is right after which one may run again. Reads are not journaled: safe requests may run again. The memory allowance counts both processes.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -412,14 +412,35 @@
         Returns the future of its response, which is complete already for a refusal. Raises Rejected
         for a recent id, and ConnectionAbortedError if the client has left.
         """
-        body_budget = self._frontend.body_budget
-        if self._frontend.node.is_recent_id(request.txn):
-            body_budget.release(buffered)
+        node = self._frontend.node
+        try:
+            refusal = self._refusal_cause(request)
+        except BaseException:
+            self._frontend.body_budget.release(buffered)
+            raise
+        if refusal:
+            self._frontend.body_budget.release(buffered)
+            node.count_unadmitted(request.class_name, refusal)
+            return _completed(node.busy_response)
+        if buffered:  # nearly all requests have no body, so nothing to release
+            request.buffered_bytes = buffered
+            request.release_body = self._release_body
+            request.response.add_done_callback(lambda _: self._release_body(request))
+        self._requests[request.response] = request
+        request.check_departure = self.check_departure
+        node.submit(request, self._waited_ms())
+        return request.response
+
+    def _refusal_cause(self, request: ClientRequest) -> str:
+        """Return why a request is refused before it is submitted, "" if it is not.
+
+        Raises as `_admit` does.
+        """
+        node = self._frontend.node
+        if node.is_recent_id(request.txn):
             raise Rejected(409)
-        if self._frontend.node.full:
-            body_budget.release(buffered)
-            self._frontend.node.count_unadmitted(request.class_name, "full")
-            return _completed(self._frontend.node.busy_response)
+        if node.full:
+            return "full"
         # A client may have left while its connection waited in the backlog, as happens when the
         # node cannot accept for lack of descriptors: its FIN follows its request directly. The
         # check costs one socket read for each new connection and keeps the node from working for
@@ -428,16 +449,15 @@
         # ended or has more input.
         stream, new = self._stream, not (self.served or self._pending)
         if (stream.last_read_full or (new and not stream.open_without_input)) and stream.peer_left:
-            body_budget.release(buffered)
             raise ConnectionAbortedError("the client has left")
-        if buffered:  # nearly all requests have no body, so nothing to release
-            request.buffered_bytes = buffered
-            request.release_body = self._release_body
-            request.response.add_done_callback(lambda _: self._release_body(request))
-        self._requests[request.response] = request
-        request.check_departure = self.check_departure
-        self._frontend.node.submit(request, self._waited_ms())
-        return request.response
+        if not node.may_repeat(request):
+            # The node's other processes must know the id before the request is sent on.
+            claimed = self._frontend.claim_id(request.txn)
+            if node.is_recent_id(request.txn):
+                raise Rejected(409)
+            if not claimed:
+                return "unclaimed"
+        return ""
 
     def _waited_ms(self) -> float:
         """Return an upper bound of the time that the request waited in the kernel.
@@ -641,6 +661,9 @@
         self.peer_connections = 0  # client connections of the node's other processes
         # Whether another process accepts what waits in the queue of the listening socket.
         self.other_accepts: Callable[[], bool] = lambda: shared
+        # Tells the node's other processes of the id of a request that may not be repeated, and
+        # reads theirs. Returns whether they can know it.
+        self.claim_id: Callable[[bytes], bool] = lambda txn: True
         self._limit = limit
         self._memory_checked_ms = 0.0
         self._connections: dict[ClientConnection, None] = {}  # oldest first
--- a/corkshift/handover/messages.py
+++ b/corkshift/handover/messages.py
@@ -48,6 +48,18 @@
     call: Drain
 
 
+class RequestIds(msgspec.Struct, frozen=True, tag="ids"):
+    """The process has accepted requests with these ids, which must not run again."""
+
+    ids: list[str]
+
+
+class Greeting(msgspec.Struct, frozen=True, tag="greeting"):
+    """The process has told the one whose journal has this name all that it knows so far."""
+
+    name: str
+
+
 class Usage(msgspec.Struct, frozen=True, tag="usage"):
     """The connections that the process has open."""
 
@@ -55,7 +67,7 @@
     servers: int
 
 
-Message = State | Departure | DrainCall | Usage
+Message = State | Departure | DrainCall | RequestIds | Greeting | Usage
 _DECODER = msgspec.json.Decoder(Message)
 
 
--- a/corkshift/handover/observer.py
+++ b/corkshift/handover/observer.py
@@ -30,6 +30,19 @@
             for name, departure in self._discovery.address_book.departures()
         ]
 
+    def recent_ids(self) -> list[bytes]:
+        """See PeerObserver."""
+        return self._frontend.node.recent_ids()
+
+    def on_ids(self, ids: list[bytes]) -> None:
+        """See PeerObserver."""
+        for txn in ids:
+            self._frontend.node.remember_id(txn)
+
+    def on_processes(self, others: int) -> None:
+        """See PeerObserver."""
+        self._frontend.node.allowance.other_processes = others
+
     def usage(self) -> Usage:
         """See PeerObserver."""
         return Usage(self._frontend.connection_count, self._pool.open)
--- a/corkshift/handover/peers.py
+++ b/corkshift/handover/peers.py
@@ -12,9 +12,11 @@
     Departure,
     Drain,
     DrainCall,
+    Greeting,
     Message,
     MessageReader,
     ProcessState,
+    RequestIds,
     State,
     Usage,
     encode,
@@ -27,7 +29,11 @@
 POLL_S = 0.04
 # Between two searches for further processes while none is known.
 SEARCH_S = 0.2
-# A journal that has grown to this is not appended to, except for departures and drains.
+# A process that starts waits this long for the greeting of one that serves. A process of an older
+# release writes none.
+GREETING_TIMEOUT_S = 1.5
+IDS_PER_MESSAGE = 24  # so that a message stays under the longest line
+# A journal that has grown to this is not appended to, except for departures, drains and ids.
 MAX_USAGE_BYTES = 262_144
 MAX_UNWRITTEN_BYTES = 1_048_576
 
@@ -39,6 +45,10 @@
         """The departures that this process was notified of, for a process that starts."""
         ...
 
+    def recent_ids(self) -> list[bytes]:
+        """The ids of requests that this process remembers, for a process that starts."""
+        ...
+
     def usage(self) -> Usage:
         """The connections of this process."""
         ...
@@ -51,6 +61,14 @@
         """An operator called another process."""
         ...
 
+    def on_ids(self, ids: list[bytes]) -> None:
+        """Another process has accepted requests with these ids."""
+        ...
+
+    def on_processes(self, others: int) -> None:
+        """The number of all other processes has changed."""
+        ...
+
     def on_usage(self, usage: Usage) -> None:
         """The sum of the connections of all other processes has changed."""
         ...
@@ -63,6 +81,8 @@
         """Open its journal. Raises OSError."""
         self.journal = folder.open(name)
         self.usage = Usage(0, 0)
+        self.greeted = False  # it has told this process all that it knew when it noticed it
+        self.found_s = asyncio.get_running_loop().time()
         self.state: Optional[ProcessState] = None
         self._reader = MessageReader()
 
@@ -99,6 +119,27 @@
         self._refresh()
         return self.other_serves
 
+    @property
+    def caught_up(self) -> bool:
+        """Whether each process that serves has told this one what it knows, or is long overdue."""
+        overdue_s = asyncio.get_running_loop().time() - GREETING_TIMEOUT_S
+        return all(
+            peer.greeted or peer.state is not ProcessState.SERVING or peer.found_s < overdue_s
+            for peer in self._peers.values()
+        )
+
+    def claim_id(self, txn: bytes) -> bool:
+        """Tell the other processes of the id of a request, and learn which ones they have.
+
+        Both write before they read, so of two processes that get the same id at once, one at least
+        learns of the other. Returns whether the id is written: if not, they can't know it.
+        """
+        if not self._peers:
+            return True
+        self._append(RequestIds([txn.decode("ascii")]))
+        self._read_all()
+        return not self._unwritten
+
     def start(self) -> None:
         """Find the other processes, read their journals and create this one's."""
         self._attempt(self._create)
@@ -185,9 +226,18 @@
             if name != own and name not in self._peers:
                 self._peers[name] = Peer(self._folder, name)
                 log.info("another process of this node runs: its journal is %s", name)
-                self._append(*self._observer.departures())
+                self._append(*self._observer.departures(), *self._id_messages(), Greeting(name))
+                self._observer.on_processes(len(self._peers))
                 self._read(name)
 
+    def _id_messages(self) -> list[RequestIds]:
+        """The ids that this process remembers, as messages of bounded length."""
+        ids = [txn.decode("ascii") for txn in self._observer.recent_ids()]
+        return [
+            RequestIds(ids[first : first + IDS_PER_MESSAGE])
+            for first in range(0, len(ids), IDS_PER_MESSAGE)
+        ]
+
     def _read(self, name: str) -> None:
         """Apply what another process has written. Raises OSError."""
         peer = self._peers[name]
@@ -197,6 +247,7 @@
             log.info("the other process of this node has ended: its journal was %s", name)
             peer.journal.close(remove=True)
             del self._peers[name]
+            self._observer.on_processes(len(self._peers))
         departures = [message for message in messages if isinstance(message, Departure)]
         if departures:
             self._observer.on_departures(departures)
@@ -204,6 +255,11 @@
             # A process that has ended leaves no drain behind: a restart ends it.
             if isinstance(message, DrainCall) and alive:
                 self._observer.on_drain_call(message.call)
+            elif isinstance(message, RequestIds):
+                self._observer.on_ids([txn.encode("ascii", "replace") for txn in message.ids])
+            elif isinstance(message, Greeting):
+                own = self._own
+                peer.greeted = peer.greeted or (own is not None and message.name == own.name)
             elif isinstance(message, Usage):
                 peer.usage = message
             elif isinstance(message, State):
--- a/corkshift/metrics.py
+++ b/corkshift/metrics.py
@@ -10,11 +10,12 @@
 from forkweir.retry_after import REFUSAL_CAUSES
 
 OK, SHED, ERRORS = range(3)  # indices of KINDS
-REFUSALS = (*REFUSAL_CAUSES, "full", "no-room", "late", "behind")
+REFUSALS = (*REFUSAL_CAUSES, "full", "no-room", "unclaimed", "late", "behind")
 """Causes of refusals: those of the balancer (forkweir/retry_after.py), then the node's own.
 
-full: limit of open requests reached; no-room: body budget used up; late: deadline passed before
-the request was read; behind: too little time left for the present event loop lag.
+full: limit of open requests reached; no-room: body budget used up; unclaimed: the node's other
+process could not be told of its id; late: deadline passed before the request was read; behind: too
+little time left for the present event loop lag.
 """
 # Distinct causes kept between two log lines, and causes named in one log line.
 MAX_FAILURE_CAUSES = 512
--- a/corkshift/node.py
+++ b/corkshift/node.py
@@ -24,8 +24,8 @@
 log = logging.getLogger(__name__)
 
 # Request ids are remembered for ID_MEMORY_MARGIN_MS beyond the longest deadline, but at least this
-# long.
-MIN_ID_MEMORY_MS = 5_000.0
+# long: a client never uses an id again, and an effect must not happen twice whenever it does.
+MIN_ID_MEMORY_MS = 60_000.0
 ID_MEMORY_MARGIN_MS = 1_000.0
 # Far more than arrive in that time.
 MAX_REMEMBERED_IDS = 8_192
@@ -169,6 +169,15 @@
             del self._recent_ids[next(iter(self._recent_ids))]
         return txn in self._recent_ids or txn in self._open_ids
 
+    def recent_ids(self) -> list[bytes]:
+        """The ids that are remembered, oldest first."""
+        return list(self._recent_ids)
+
+    def remember_id(self, txn: bytes) -> None:
+        """Remember the id of a request that another process of this node has accepted."""
+        self._recent_ids.pop(txn, None)  # the newest one stands last
+        self._recent_ids[txn] = now_ms()
+
     def submit(self, request: ClientRequest, waited_ms: float = 0.0) -> None:
         """Accept a request, complete or with only the first part of a large body.
 
--- a/corkshift/service.py
+++ b/corkshift/service.py
@@ -133,6 +133,7 @@
         peers = Peers(folder, NodeObserver(self.discovery, self.frontend, self.pool))
         self.discovery.address_book.on_departure = peers.on_departure
         self.frontend.other_accepts = peers.check_other_serves
+        self.frontend.claim_id = peers.claim_id
         return peers
 
     @property
@@ -231,11 +232,14 @@
     async def _wait_ready(self, started_ms: float) -> None:
         """Wait until this process may serve, or is stopped."""
         readiness = Readiness(pushed=not self.config.settings.poll_list)
-        while not self._stop.is_set() and not readiness.may_serve(
-            waited_ms=seam.now_ms() - started_ms,
-            list_received=self.discovery.first_list_received,
-            refused_calls=self.discovery.failed_calls,
-            predecessor_serves=self.peers is not None and self.peers.other_serves,
+        while not self._stop.is_set() and not (
+            readiness.may_serve(
+                waited_ms=seam.now_ms() - started_ms,
+                list_received=self.discovery.first_list_received,
+                refused_calls=self.discovery.failed_calls,
+                predecessor_serves=self.peers is not None and self.peers.other_serves,
+            )
+            and (self.peers is None or self.peers.caught_up)
         ):
             await asyncio.sleep(READINESS_CHECK_S)
 
--- a/tests/handover/test_peers.py
+++ b/tests/handover/test_peers.py
@@ -18,9 +18,11 @@
     Departure,
     Drain,
     DrainCall,
+    Greeting,
     Message,
     MessageReader,
     ProcessState,
+    RequestIds,
     State,
     Usage,
     encode,
@@ -32,6 +34,8 @@
     State(ProcessState.SERVING),
     Departure("s1", 41, 1_764_547_200_000.0),
     DrainCall(Drain.QUIESCE),
+    RequestIds(["a", "b"]),
+    Greeting("n.journal"),
     Usage(12, 30),
 ]
 TEXT = b"".join(encode(message) for message in MESSAGES)
@@ -45,10 +49,22 @@
         self.departed: list[Departure] = []
         self.calls: list[Drain] = []
         self.used = Usage(0, 0)
+        self.ids: list[bytes] = []
+        self.learnt_ids: list[bytes] = []
+        self.others = 0
 
     def departures(self) -> Iterable[Departure]:
         return self.known
 
+    def recent_ids(self) -> list[bytes]:
+        return self.ids
+
+    def on_ids(self, ids: list[bytes]) -> None:
+        self.learnt_ids += ids
+
+    def on_processes(self, others: int) -> None:
+        self.others = others
+
     def usage(self) -> Usage:
         return Usage(1, 2)
 
@@ -208,3 +224,54 @@
     assert not starts_beside_another(environ)
     for name in STEPS:
         importlib.import_module(name)
+
+
+def test_ids_are_known_to_both_processes_before_either_sends_a_request_on(tmp_path: Path) -> None:
+    async def test() -> None:
+        old_observer, new_observer = Observer(), Observer()
+        old_observer.ids = [b"earlier-%d" % n for n in range(100)]
+        old, new = (
+            Peers(LockedFolder(tmp_path), old_observer),
+            Peers(LockedFolder(tmp_path), new_observer),
+        )
+        old.start()
+        assert old.claim_id(b"alone") and old.caught_up
+        old.on_serving()
+        new.start()
+        assert not new.caught_up
+        await until(lambda: new.caught_up)
+        assert new_observer.learnt_ids == old_observer.ids
+        assert (old_observer.others, new_observer.others) == (1, 1)
+        # Without a poll in between: the second one learns of the id as it claims it.
+        assert old.claim_id(b"x") and new.claim_id(b"x")
+        assert new_observer.learnt_ids[-1] == b"x" and b"x" not in old_observer.learnt_ids
+        old.close()
+        new.close()
+
+    run_async(test)
+
+
+def test_an_id_that_cannot_be_written_is_not_claimed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        old, new = (
+            Peers(LockedFolder(tmp_path), Observer()),
+            Peers(LockedFolder(tmp_path), Observer()),
+        )
+        old.start()
+        new.start()
+        await until(lambda: bool(old._peers and new._peers))
+        append = LockedFile.append
+
+        def failing(journal: LockedFile, data: bytes) -> int:
+            raise OSError(errno.ENOSPC, "no space")
+
+        monkeypatch.setattr(LockedFile, "append", failing)
+        assert not old.claim_id(b"x")
+        monkeypatch.setattr(LockedFile, "append", append)
+        assert old.claim_id(b"y")
+        old.close()
+        new.close()
+
+    run_async(test)
