--- a/testbed/soak/__main__.py
+++ b/testbed/soak/__main__.py
@@ -24,7 +24,9 @@
     """A one-line summary of a report."""
     totals = report.counts
     shown = ["asked", "served", "refused", "failed", "left", "unframed", "unframed served"]
-    shown += [name for name in ("upgrades", "operator drains") if name in totals]
+    shown += [
+        name for name in ("upgrades", "operator drains", "crowds", "readdressed") if name in totals
+    ]
     counts = ", ".join(f"{name} {totals.get(name, 0)}" for name in shown)
     state = f"{len(report.violations)} VIOLATIONS" if report.violations else "kept"
     return (
@@ -50,6 +52,7 @@
     help="Duration of the load in each run.",
 )
 @click.option("--upgrades", is_flag=True, help="Upgrade nodes and let operators drain them.")
+@click.option("--crowd", is_flag=True, help="Send crowds of demanding clients; reuse addresses.")
 @click.option(
     "--json", "file", type=click.Path(path_type=Path), help="Write all reports to this file."
 )
@@ -61,6 +64,7 @@
     nodes: int,
     seconds: float,
     upgrades: bool,
+    crowd: bool,
     file: Optional[Path],
     logs: Optional[Path],
 ) -> None:
@@ -70,7 +74,9 @@
     """
     reports = []
     for seed in parse_seeds(seeds):
-        report = run(draw(seed, nodes, seconds, upgrades), logs / str(seed) if logs else None)
+        report = run(
+            draw(seed, nodes, seconds, upgrades, crowd), logs / str(seed) if logs else None
+        )
         reports.append(report)
         click.echo(summary_line(report))
         for violation in report.violations[:8]:
--- a/testbed/soak/faults.py
+++ b/testbed/soak/faults.py
@@ -4,12 +4,16 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
+from testbed.crowd.clients import Crowd, Kind
+from testbed.crowd.process import anonymous_kib
 from testbed.soak.discovery import Entry
 from testbed.soak.nodes import Node
+from testbed.soak.oracle import Rule
 from testbed.soak.plan import Event, Fault
 from testbed.soak.servers import SoakServer
-from testbed.soak.world import World
+from testbed.soak.world import MEMORY_MB, World
 
 # Servers that remain in service whatever the faults.
 MIN_SERVING = 4
@@ -17,6 +21,11 @@
 MAX_REPLACED = 3
 # A slow server takes this many times its usual time.
 SLOW_FACTOR = 8.0
+# Clients of one crowd, and between two looks at the node's memory. None of these kinds completes a
+# request, so that servers get nothing which the oracle does not know.
+CROWD_CLIENTS = 100
+CROWD_KINDS = (Kind.SHORT_FIELDS, Kind.STOPPED_UPLOAD, Kind.SLOW_UPLOAD, Kind.ENDLESS_HEAD)
+MEMORY_LOOK_S = 0.05
 # Sent by clients that stop in the middle of a request.
 TRUNCATED_REQUESTS = (
     b"GET /api/k1 HT",
@@ -59,6 +68,8 @@
             Fault.NODE_UPGRADE: lambda event: self._node(event).upgrade(
                 event.value, event.duration_s
             ),
+            Fault.NODE_CROWD: self._crowd,
+            Fault.SERVER_READDRESSED: self._readdress_server,
             Fault.NODE_QUIESCE: lambda event: self._node(event).quiesce(event.duration_s),
         }
 
@@ -87,6 +98,26 @@
     async def _fail_calls(self, event: Event) -> None:
         self._notes.append(await self._node(event).fail_calls(int(event.value), event.duration_s))
 
+    async def _crowd(self, event: Event) -> None:
+        """Send a crowd to a node, and check that its process stays within its memory limit."""
+        node = self._node(event)
+        kinds = [CROWD_KINDS[int(event.value) % len(CROWD_KINDS)], Kind.ENDLESS_HEAD]
+        crowd = Crowd(node.listen[1], kinds, self._world.plan.seed)
+        crowd.start(CROWD_CLIENTS)
+        end_s = asyncio.get_running_loop().time() + event.duration_s
+        peak_kib = 0
+        while asyncio.get_running_loop().time() < end_s:
+            if node.process is not None and node.process.returncode is None:
+                with suppress(OSError, KeyError):  # it has just ended
+                    peak_kib = max(peak_kib, anonymous_kib(node.process.pid))
+            await asyncio.sleep(MEMORY_LOOK_S)
+        await crowd.close()
+        self._world.oracle.counts["crowds"] += 1
+        if peak_kib > MEMORY_MB * 1_024:
+            self._world.oracle.record_violation(
+                Rule.CRASH, f"{node.name} has {peak_kib} KiB of memory beside a crowd of {kinds}"
+            )
+
     # -- discovery -----------------------------------------------------------------------
 
     async def _discovery_down(self, event: Event) -> None:
@@ -145,6 +176,19 @@
         if entries:
             await self._world.discovery.change(entries)
 
+    async def _readdress_server(self, event: Event) -> None:
+        """End a server and start another one at its address; the list tells of it later."""
+        serving = self._world.in_service_servers()
+        if len(serving) <= MIN_SERVING:
+            return
+        ending = serving[event.target % len(serving)]
+        old = {**self._world.discovery.servers.entries[ending.name], "lifecycle": "terminated"}
+        ending.close()
+        new = self._world.start_server(cold=True, port=ending.address[1])
+        self._world.oracle.counts["readdressed"] += 1
+        await asyncio.sleep(event.value)
+        await self._world.discovery.change([old, new])
+
     async def _server_hangs(self, event: Event) -> None:
         server = self._server(event)
         gate = server.hang = asyncio.Event()
--- a/testbed/soak/plan.py
+++ b/testbed/soak/plan.py
@@ -44,12 +44,26 @@
     # Only in plans with upgrades:
     NODE_UPGRADE = "node-upgrade"  # a second process takes over, then SIGTERM to the first
     NODE_QUIESCE = "node-quiesce"  # drained by an operator, and put back later
+    # Only in plans with a crowd:
+    NODE_CROWD = "node-crowd"  # many clients at once, each of which asks much of the node
+    SERVER_READDRESSED = "server-readdressed"  # another server starts at the address of one
 
 
 # The faults of every plan; the order is part of what a seed draws.
 BASIC_FAULTS = tuple(
-    fault for fault in Fault if fault not in (Fault.NODE_UPGRADE, Fault.NODE_QUIESCE)
+    fault
+    for fault in Fault
+    if fault
+    not in (
+        Fault.NODE_UPGRADE,
+        Fault.NODE_QUIESCE,
+        Fault.NODE_CROWD,
+        Fault.SERVER_READDRESSED,
+    )
 )
+CROWD_FAULTS = (Fault.NODE_CROWD, Fault.SERVER_READDRESSED)
+# The list tells of a server at the address of another one this much later than it starts.
+READDRESSED_LIST_DELAYS_S = (0.0, 0.2, 1.3)
 # Of an upgrade: from the second process's yes to SIGTERM of the first.
 MIN_TERM_DELAY_S, MAX_TERM_DELAY_S = 0.05, 6.0
 # Share of the upgrades whose second process is killed before it is up.
@@ -97,11 +111,14 @@
     upgrades: bool = False
 
 
-def draw(seed: int, nodes: int, seconds: float, upgrades: bool = False) -> Plan:
+def draw(
+    seed: int, nodes: int, seconds: float, upgrades: bool = False, crowd: bool = False
+) -> Plan:
     """Draw the plan of a seed.
 
-    upgrades: the processes of a node share a listening socket, and some are upgraded; all else is
-    as in the plan without upgrades.
+    upgrades: the processes of a node share a listening socket, and some are upgraded. crowd: crowds
+    of demanding clients come to some nodes, and servers start at the addresses of others. All else
+    is as in the plan without them.
     """
     rng = random.Random(f"soak/{seed}")
     servers = rng.randint(8, 16)
@@ -113,6 +130,8 @@
     unframed_share = rng.choice((0.0, 0.1, 0.3))
     if upgrades:
         events += _draw_upgrades(random.Random(f"soak/upgrades/{seed}"), nodes, seconds)
+    if crowd:
+        events += _draw_crowd(random.Random(f"soak/crowd/{seed}"), seconds)
     return Plan(
         seed=seed,
         nodes=nodes,
@@ -125,6 +144,21 @@
     )
 
 
+def _draw_crowd(rng: random.Random, seconds: float) -> list[Event]:
+    """Draw crowds of demanding clients, and servers that start at the address of another one."""
+    latest_s = max(FAULT_FREE_START_S + 1.0, seconds - 4.0)
+    events = []
+    for _ in range(rng.randint(2, 4)):
+        at_s, target = rng.uniform(FAULT_FREE_START_S, latest_s), rng.randrange(1_000)
+        if rng.random() < 0.6:
+            kind, duration_s = rng.randrange(1_000), rng.uniform(1.0, 4.0)
+            events.append(Event(at_s, Fault.NODE_CROWD, target, duration_s, kind))
+        else:
+            delay_s = rng.choice(READDRESSED_LIST_DELAYS_S)
+            events.append(Event(at_s, Fault.SERVER_READDRESSED, target, value=delay_s))
+    return events
+
+
 def _draw_upgrades(rng: random.Random, nodes: int, seconds: float) -> list[Event]:
     """Draw upgrades one node at a time or of all at once, with changes of the list around them."""
     events: list[Event] = []
--- a/testbed/soak/servers.py
+++ b/testbed/soak/servers.py
@@ -42,8 +42,10 @@
         arrivals: ArrivalObserver,
         cold: bool,
         seed: int,
+        port: int = 0,
     ) -> None:
-        super().__init__(name, ("127.0.0.1", 0), origin, spec, observer, cold)
+        """port: where it listens; 0: the system chooses one."""
+        super().__init__(name, ("127.0.0.1", port), origin, spec, observer, cold)
         self.unframed_share = 0.0
         self.broken_share = 0.0
         self._arrival_observer = arrivals
--- a/testbed/soak/world.py
+++ b/testbed/soak/world.py
@@ -89,12 +89,15 @@
             server.close()
         self._ports.close()
 
-    def start_server(self, cold: bool) -> Entry:
-        """Start a server under a new name and return its entry in the list."""
+    def start_server(self, cold: bool, port: int = 0) -> Entry:
+        """Start a server under a new name and return its entry in the list.
+
+        port: where it listens; 0: the system chooses one.
+        """
         name = f"s{len(self.servers)}"
         spec = BoxSpec(cores=2, cache_capacity=400)
         server = SoakServer(
-            name, self._origin.address, spec, self.oracle, self.oracle, cold, self.plan.seed
+            name, self._origin.address, spec, self.oracle, self.oracle, cold, self.plan.seed, port
         )
         server.unframed_share = self.plan.unframed_share
         if not cold:
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -9,7 +9,7 @@
 
 from testbed.soak import oracle as oracle_module
 from testbed.soak.oracle import Intervals, Oracle, Rule
-from testbed.soak.plan import BASIC_FAULTS, Fault, draw
+from testbed.soak.plan import BASIC_FAULTS, CROWD_FAULTS, Fault, draw
 from testbed.soak.rig import run
 from testbed.systems.clients import CLASSES, ClientRequest
 from testbed.systems.http import Message
@@ -225,10 +225,19 @@
     plans = [draw(seed, 12, 14.0) for seed in range(60)]
     assert {event.kind for plan in plans for event in plan.events} == set(BASIC_FAULTS)
     with_upgrades = [draw(seed, 12, 14.0, upgrades=True) for seed in range(60)]
-    assert {event.kind for plan in with_upgrades for event in plan.events} == set(Fault)
+    assert {event.kind for plan in with_upgrades for event in plan.events} == set(Fault) - set(
+        CROWD_FAULTS
+    )
+    with_crowds = [draw(seed, 12, 14.0, crowd=True) for seed in range(60)]
+    assert {event.kind for plan in with_crowds for event in plan.events} == {
+        *BASIC_FAULTS,
+        *CROWD_FAULTS,
+    }
+    for plan, crowded in zip(plans, with_crowds, strict=True):
+        assert [event for event in crowded.events if event in plan.events] == plan.events
     for plan, upgraded in zip(plans, with_upgrades, strict=True):
         assert [event for event in upgraded.events if event in plan.events] == plan.events
-    plans += with_upgrades
+    plans += with_upgrades + with_crowds
     assert all(0.0 < event.at_s < 14.0 for plan in plans for event in plan.events)
 
 
@@ -246,3 +255,11 @@
     assert report.violations == []
     assert report.counts["upgrades"] > 0
     assert report.counts["served"] > 0.5 * report.counts["asked"] > 0
+
+
+def test_a_short_run_with_a_crowd_keeps_every_rule() -> None:
+    # Three nodes for six seconds; `python -m testbed.soak --crowd` does longer runs.
+    report = run(draw(2, 3, 6.0, crowd=True))
+    assert report.violations == []
+    assert report.counts["crowds"] > 0
+    assert report.counts["served"] > 0.5 * report.counts["asked"] > 0
