Streams: at most four reads of a connection in one turn of the loop

Change: four reads, then the others' turn by call_soon, which needs no event. A head is collected in a bytearray.

--- a/corkshift/heads.py
+++ b/corkshift/heads.py
@@ -122,17 +122,22 @@
     __slots__ = ("_data", "_searched")
 
     def __init__(self) -> None:
-        self._data = b""
+        self._data = bytearray()
         self._searched = 0  # bytes without an end of a head
 
     @property
     def received(self) -> bytes:
         """What was received and not taken."""
-        return self._data
+        return bytes(self._data)
+
+    def starts_with(self, prefix: bytes) -> bool:
+        """Whether what was received can be the start of a message that begins like this."""
+        start = self._data[: len(prefix)]
+        return start == prefix[: len(start)]
 
     def receive(self, data: bytes) -> None:
         """Add input."""
-        self._data = self._data + data if self._data else data
+        self._data += data
 
     def take(self) -> Optional[bytes]:
         """Return the complete head at the start of the input, None while it is incomplete.
@@ -142,8 +147,9 @@
         data = self._data
         end = _END_OF_HEAD.search(data, max(0, self._searched - _END_OVERLAP_BYTES))
         if end is not None:
+            head = bytes(data[: end.end()])
             self._data, self._searched = data[end.end() :], 0
-            return data[: end.end()]
+            return head
         self._searched = len(data)
         if data and data[0] < 0x21:  # as h11 checks it
             raise h11.RemoteProtocolError("illegal first line", error_status_hint=_BAD_REQUEST)
@@ -207,8 +213,7 @@
 
         Otherwise the node would read on through random bytes for the end of a status line.
         """
-        start = self._buffer.received[: len(VERSION_PREFIX)]
-        return start == VERSION_PREFIX[: len(start)]
+        return self._buffer.starts_with(VERSION_PREFIX)
 
     def receive(self, data: bytes) -> Optional[ResponseHead]:
         """Add input; return the final head once it is complete.
--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -16,6 +16,8 @@
 
 # Limit of one read, and of buffered input at which reading pauses.
 READ_BYTES = 65_536
+# Reads of one connection in one turn of the event loop; a read may be short.
+MAX_READS_PER_TURN = 4
 # Socket buffer size requested per direction; Linux doubles it for its own overhead.
 KERNEL_BUFFER_BYTES = 65_536
 # Delay until a read or write is retried after the kernel had no memory for it.
@@ -270,10 +272,13 @@
         """Read until the socket is empty or ended, or until the buffer is full.
 
         uvloop stops watching a socket at the first event with an error, after a single call of this
-        function. So a reset directly behind data must be read now.
+        function. So a reset directly behind data must be read without another event.
         """
-        while self._receive() and self._reading:
-            pass
+        for _ in range(MAX_READS_PER_TURN):
+            if not (self._reading and self._receive()):
+                return
+        if self._reading:
+            self._loop.call_soon(self._on_readable)
 
     def _receive(self) -> bool:
         """Read once; return whether input arrived."""
--- a/testbed/soak/faults.py
+++ b/testbed/soak/faults.py
@@ -184,7 +184,10 @@
         ending = serving[event.target % len(serving)]
         old = {**self._world.discovery.servers.entries[ending.name], "lifecycle": "terminated"}
         ending.close()
-        new = self._world.start_server(cold=True, port=ending.address[1])
+        try:
+            new = self._world.start_server(cold=True, port=ending.address[1])
+        except OSError:
+            new = self._world.start_server(cold=True)  # a client's connection has taken the port
         self._world.oracle.counts["readdressed"] += 1
         await asyncio.sleep(event.value)
         await self._world.discovery.change([old, new])
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -9,7 +9,7 @@
 import pytest
 import uvloop
 
-from corkshift.stream import Stream
+from corkshift.stream import MAX_READS_PER_TURN, Stream
 
 RESET = struct.pack("ii", 1, 0)
 WAIT_S = 5.0
@@ -57,3 +57,24 @@
         stream.close()
 
     uvloop.run(test())
+
+
+def test_short_reads_leave_the_event_loop_its_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+    reads_by_turn: list[int] = [0]
+
+    def receive_one_byte(stream: Stream) -> bool:
+        reads_by_turn[-1] += 1
+        return sum(reads_by_turn) < 10 * MAX_READS_PER_TURN
+
+    async def test() -> None:
+        stream, peer = await connected_pair()
+        monkeypatch.setattr(Stream, "_receive", receive_one_byte)
+        stream._on_readable()
+        while sum(reads_by_turn) < 10 * MAX_READS_PER_TURN:
+            reads_by_turn.append(0)
+            await asyncio.sleep(0)
+        stream.close()
+        peer.close()
+
+    uvloop.run(test())
+    assert len(reads_by_turn) >= 10 and max(reads_by_turn) <= MAX_READS_PER_TURN
