Uploads: one whose time is over before its first byte fails as not sent, not by an assertion

What callers saw: 502 (it may have run) for an upload of which no byte had been sent, and a traceback in the log.

Cause: Attempt._send_large asserted that a timer for the client's deadline runs; none does where the time is over when it would be set.

Evidence: tests/test_upload_deadlines.py::test_an_upload_whose_time_is_over_before_its_first_byte_is_sent_fails_as_not_sent failed before (502, unexpected exception in the log).

--- a/corkshift/upstream.py
+++ b/corkshift/upstream.py
@@ -446,8 +446,8 @@
         try:
             sent = await self._send_body(stream)
         finally:
-            assert self._deadline_timer is not None
-            self._deadline_timer.cancel()
+            if self._deadline_timer is not None:  # the time may be over before the first byte
+                self._deadline_timer.cancel()
         left_ms = self.request.left_ms()
         if sent:
             self._started_ms = self._pool.loop_lag.active_ms()
--- a/tests/test_upload_deadlines.py
+++ b/tests/test_upload_deadlines.py
@@ -5,10 +5,12 @@
 import asyncio
 import random
 import socket
+import time
 
 import pytest
 from loopback import CacheBox, connect_socket, request, rig, run_async, status, until
 
+from corkshift import seam
 from corkshift.body_arrival import MAX_UNREAD_BYTES
 from corkshift.budget import MAX_BODY_BYTES
 from testbed.systems.http import Connection, Message
@@ -216,3 +218,29 @@
                 assert loop.time() - began_s > LATEST_S
 
     run_async(test)
+
+
+def test_an_upload_whose_time_is_over_before_its_first_byte_is_sent_fails_as_not_sent(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    connect = seam.connect
+
+    async def stalled_connect(sock: seam.Socket, address: seam.Address) -> None:
+        await connect(sock, address)
+        time.sleep(0.4)  # the event loop is held up until the client's time is over
+
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}) as made:
+            monkeypatch.setattr(seam, "connect", stalled_connect)
+            sock = await connect_socket(made.port)
+            body = BODY[:200_000]
+            more = f"Content-Length: {len(body)}\r\n"
+            head = request("a", more, class_name="order", method="PUT", within_ms=300)
+            await send_large(sock, head + body)
+            answer = await asyncio.get_running_loop().sock_recv(sock, 1_000)
+            sock.close()
+            assert status(answer) == 503
+            assert made.metrics.attempt_outcomes["broken"] == 0
+
+    run_async(test)
+    assert not [line for line in caplog.messages if "unexpected exception" in line]
