--- a/corkshift/budget.py
+++ b/corkshift/budget.py
@@ -94,34 +94,55 @@
         self._limit = limit
         self._process_bytes = PROCESS_BYTES if process_bytes is None else process_bytes
         self._connections = max(1, connections)
-        self.open_connections = 0  # of clients
-        self.other_processes = 0  # of this node, which share its limit
+        self._open_connections = 0
+        self._other_processes = 0
+        # Limits of a read, a buffered body and a piece of a transfer, kept because each request
+        # needs them.
+        self._read_bytes = self._piece_bytes = MIN_READ_BYTES
+        self.buffer_limit = MIN_READ_BYTES  # largest body that is buffered completely
+        self._update()
 
     @property
     def total(self) -> int:
         """Bytes for all connections together."""
-        free = self._limit - self._process_bytes * (1 + self.other_processes)
+        free = self._limit - self._process_bytes * (1 + self._other_processes)
         return max(int(BUFFER_SHARE * free), int(MIN_BUFFER_SHARE * self._limit))
 
     @property
     def each(self) -> int:
         """Bytes for one connection."""
-        return max(MIN_READ_BYTES, self.total // max(self._connections, self.open_connections))
+        return max(MIN_READ_BYTES, self.total // max(self._connections, self._open_connections))
 
     def set_process_bytes(self, process_bytes: Optional[int]) -> None:
         """Set what the process uses without connections; None leaves it as it is."""
         if process_bytes is not None:
             self._process_bytes = process_bytes
-
-    @property
-    def buffer_limit(self) -> int:
-        """Return the largest body that is buffered completely."""
-        return min(MAX_BUFFERED_BODY_BYTES, max(MIN_READ_BYTES, int(self.each * BODY_SHARE)))
+            self._update()
+
+    def set_open_connections(self, count: int) -> None:
+        """Set the number of open client connections."""
+        most = max(self._connections, self._open_connections)
+        self._open_connections = count
+        if max(self._connections, count) != most:
+            self._update()
+
+    def set_other_processes(self, count: int) -> None:
+        """Set the number of the node's other processes, which share its limit."""
+        self._other_processes = count
+        self._update()
+
+    def _update(self) -> None:
+        each = self.each
+        self._read_bytes = max(MIN_READ_BYTES, int(each * READ_SHARE))
+        self._piece_bytes = max(MIN_READ_BYTES, each // PIECES_PER_TRANSFER)
+        self.buffer_limit = min(
+            MAX_BUFFERED_BODY_BYTES, max(MIN_READ_BYTES, int(each * BODY_SHARE))
+        )
 
     def read_limit(self, most: int) -> int:
         """Return the limit of one read of a message whose size isn't known, `most` at most."""
-        return min(most, max(MIN_READ_BYTES, int(self.each * READ_SHARE)))
+        return min(most, self._read_bytes)
 
     def transfer_read_limit(self, most: int) -> int:
         """Return the limit of one read of a body that is streamed, `most` at most."""
-        return min(most, max(MIN_READ_BYTES, self.each // PIECES_PER_TRANSFER))
+        return min(most, self._piece_bytes)
--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -794,7 +794,7 @@
         """Remove a closed connection and resume accepting."""
         self.mark_busy(connection)
         self._connections.pop(connection, None)
-        self.node.allowance.open_connections = self.connection_count
+        self.node.allowance.set_open_connections(self.connection_count)
         if not self._connections:
             self._all_closed.set()
         self._listener.resume()
@@ -808,7 +808,7 @@
     def _accept(self, sock: Socket) -> None:
         connection = ClientConnection(self, sock, self._listener.queued_ms)
         self._connections[connection] = self._unused[connection] = None
-        self.node.allowance.open_connections = self.connection_count
+        self.node.allowance.set_open_connections(self.connection_count)
 
     def _evict_one(self) -> bool:
         """Close one connection without an open request; return whether there was one.
--- a/corkshift/handover/observer.py
+++ b/corkshift/handover/observer.py
@@ -41,7 +41,7 @@
 
     def on_processes(self, others: int) -> None:
         """See PeerObserver."""
-        self._frontend.node.allowance.other_processes = others
+        self._frontend.node.allowance.set_other_processes(others)
 
     def usage(self) -> Usage:
         """See PeerObserver."""
--- a/tests/test_transfer_memory.py
+++ b/tests/test_transfer_memory.py
@@ -150,7 +150,8 @@
 ) -> None:
     # Neither few connections nor many may hold more than the budget, but for the smallest reads.
     allowance = ConnectionAllowance(limit_mb << 20, process_mb << 20, sockets // 3)
-    allowance.open_connections, allowance.other_processes = connections, processes
+    allowance.set_open_connections(connections)
+    allowance.set_other_processes(processes)
     free = (limit_mb << 20) - (1 + processes) * (process_mb << 20)
     assert allowance.total <= max(BUFFER_SHARE * free, MIN_BUFFER_SHARE * (limit_mb << 20))
     piece = allowance.transfer_read_limit(1 << 15)
