Tests: ids never come twice; crowds connect from an address of their own

test_a_drain_that_the_new_process_is_notified_of_binds_the_old_one hung: its first request was never accepted. Suspect: the port that the test frees for the operators' address was taken by another process; the crowds use thousands of ports of the same range. They connect from 127.3.0.1 now, whose ports no listener of the tests wants.

--- a/testbed/crowd/clients.py
+++ b/testbed/crowd/clients.py
@@ -18,6 +18,8 @@
 from testbed.crowd.servers import AnswerSpec, Framing
 
 HOST = "127.0.0.1"
+# Clients connect from here, so that their ports are none that a listener at HOST may want.
+CLIENT_HOST = "127.3.0.1"
 READ_BYTES = 65_536
 # The slowest that a client of the protocol takes or sends a body.
 SLOW_BYTES_PER_S = 64_000
@@ -92,6 +94,7 @@
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
     try:
+        sock.bind((CLIENT_HOST, 0))
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await asyncio.get_running_loop().sock_connect(sock, (HOST, port))
     except BaseException:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -253,8 +253,10 @@
             )
             assert status(await process.send(put)) == 200
             assert (box.bodies + fresh.bodies)[-1:] == [body] or body in box.bodies + fresh.bodies
+            lap = 0
             while not fresh.heads:
-                await ask_all(process, "b")
+                lap += 1
+                await ask_all(process, f"b{lap}-")  # an id never comes twice
 
     run_async(test)
 
