Shutdown: further signals no longer kill a process on its way out

Traced: SIGHUP killed it. The loop restores the default actions of the signals that it handled when it stops, and signals come in series.

Change: at the end of the main coroutine the handled signals are ignored. Tried and not enough: blocking them in the main thread (another thread takes them). Microseconds remain between removing a handler and ignoring its signal.

--- a/corkshift/seam/process.py
+++ b/corkshift/seam/process.py
@@ -15,6 +15,7 @@
 # Allocations between collections of the youngest generation; collections between older ones.
 GC_THRESHOLDS = (10_000, 10, 10)
 MAX_LOG_LINES_PER_S = 20
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 class LogRateLimit(logging.Filter):
@@ -60,7 +61,21 @@
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(main)
+        runner.run(_run_and_ignore_signals(main))
+
+
+async def _run_and_ignore_signals(main: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine, and ignore the handled signals from its end on.
+
+    The loop restores the default actions when it stops, by which another signal would kill the
+    process on its way out.
+    """
+    try:
+        await main
+    finally:
+        for number in HANDLED_SIGNALS:
+            asyncio.get_running_loop().remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
 
 
 def disable_io_uring() -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -258,3 +258,18 @@
         assert process.returncode not in (0, None) and errors.count(b"\n") == 1
 
     run_async(test)
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_in_series_do_not_kill_a_process_on_its_way_out(
+    number: signal.Signals, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        async with running(tmp_path / "config.json", CacheBox()) as (process, _):
+            process.process.send_signal(signal.SIGTERM)
+            while process.process.returncode is None:
+                process.process.send_signal(number)
+                await asyncio.sleep(0.0005)
+            assert process.process.returncode == 0
+
+    run_async(test)
