--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,15 +1,13 @@
-"""Case 6: a second answer comes some milliseconds late and is taken for the next request's."""
+"""Case 6: answers that wait behind one another for slow clients take the node over its memory."""
 
 from __future__ import annotations
 
 import asyncio
-import queue
-import random
+import contextlib
+import signal
 import socket
 import sys
-import threading
-import time
-from contextlib import suppress
+from collections import deque
 from pathlib import Path
 from typing import Optional
 
@@ -17,129 +15,64 @@
 from rig2 import (
     HOST,
     TROUBLE,
+    CacheServer,
+    CannotRun,
     Discovery,
+    Message,
     Node,
     Record,
     new_id,
     now,
-    parse_head,
     play,
-    read_answer,
     request_bytes,
+    send_answer,
     settings,
 )
 
-SERVERS = 3
-# One way between two places; the site file says 0.42 to 0.78 ms, less the jitter.
-NETWORK_S = 0.0007
-SERVICE_S = (0.002, 0.010)  # a hit, as work is scaled to the load of one node
-SPOILT_SHARE = 0.03
-LATE_S = (0.003, 0.009)  # some milliseconds
-CLIENTS = 6
-RUN_S = 40.0
-PAUSE_S = 0.008  # of a client between two requests
+SERVERS = 4
+SERVICE_S = 0.05
+MEMORY_MB = 80
+SOCKETS = 1_024
+CLIENTS = 335  # a third of the descriptors at most
+AT_ONCE = 10 if TROUBLE else 1  # requests that a client has on its connection at once
+ANSWER_BYTES = 36_000
+READ_BYTES_PER_S = 64_000  # a client may take a body as slowly as this
+RECEIVE_BUFFER = 16_384  # of a small machine
+ARRIVE_S = 6.0  # over which the clients come
+RUN_S = 30.0
 WAIT_MS = 2_500
+MIB = 1 << 20
 
 
-class SlowNetworkServer:
-    """A cache server behind a network that takes NETWORK_S each way.
-
-    It answers one request at a time on a connection. Behind some answers a second copy follows some
-    milliseconds later, unless another request has come to the server on that connection by then.
-    """
-
-    def __init__(self, name: str, record: Record) -> None:
-        self.name = name
-        self._record = record
-        self._random = random.Random(name)
-        self._socket = socket.create_server((HOST, 0))
-        self.port = int(self._socket.getsockname()[1])
-        self.spoilt = 0
-
-    def start(self) -> None:
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        self._socket.close()
-
-    def _accept(self) -> None:
-        with suppress(OSError):
-            while True:
-                connection, _ = self._socket.accept()
-                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                arrivals: queue.SimpleQueue[tuple[float, bytes]] = queue.SimpleQueue()
-                for target in (self._read, self._serve):
-                    threading.Thread(
-                        target=target, args=(connection, arrivals), daemon=True
-                    ).start()
-
-    @staticmethod
-    def _read(connection: socket.socket, arrivals: queue.SimpleQueue[tuple[float, bytes]]) -> None:
-        """Note when each piece comes to the server: NETWORK_S after it was sent."""
-        data = b"-"
-        while data:
-            try:
-                data = connection.recv(65_536)
-            except OSError:
-                data = b""
-            arrivals.put((now() + NETWORK_S, data))
-
-    def _serve(
-        self, connection: socket.socket, arrivals: queue.SimpleQueue[tuple[float, bytes]]
-    ) -> None:
-        waiting: Optional[tuple[float, bytes]] = None
-        buffer = b""
-        with suppress(OSError), connection:
-            while True:
-                while b"\r\n\r\n" not in buffer:
-                    at_s, data = waiting or arrivals.get()
-                    waiting = None
-                    if not data:
-                        return
-                    _sleep_until(at_s)
-                    buffer += data
-                head, _, buffer = buffer.partition(b"\r\n\r\n")
-                _, fields = parse_head(head)
-                txn = fields["x-txn"]
-                self._record.line(f"{self.name} got {txn}")
-                time.sleep(self._random.uniform(*SERVICE_S))
-                body = f"value for {txn}".encode()
-                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-                answered_s = now()
-                _sleep_until(answered_s + NETWORK_S)
-                connection.sendall(answer)
-                if not TROUBLE or self._random.random() >= SPOILT_SHARE:
-                    continue
-                second_s = answered_s + self._random.uniform(*LATE_S)
-                if not buffer:
-                    with suppress(queue.Empty):
-                        waiting = arrivals.get(timeout=max(0.0, second_s - now()))
-                _sleep_until(second_s)
-                if waiting is not None and waiting[0] <= second_s or buffer:
-                    continue  # another request waits on the connection
-                self.spoilt += 1
-                self._record.line(
-                    f"{self.name} sends the answer to {txn} again, "
-                    f"{(second_s - answered_s) * 1000.0:.1f} ms after the first; nothing waits"
-                )
-                _sleep_until(second_s + NETWORK_S)
-                connection.sendall(answer)
-
-
-def _sleep_until(at_s: float) -> None:
-    left_s = at_s - now()
-    if left_s > 0.0:
-        time.sleep(left_s)
+def own_memory(process: int) -> Optional[int]:
+    """The process's own memory in bytes, without mapped files; None once it has ended."""
+    with contextlib.suppress(OSError):
+        sizes = dict(
+            line.split(":", 1)
+            for line in Path(f"/proc/{process}/status").read_text().splitlines()
+            if line.startswith(("RssAnon", "RssShmem"))
+        )
+        if sizes:
+            return sum(int(size.split()[0]) * 1024 for size in sizes.values())
+    return None
 
 
 async def case(record: Record, folder: Path, nodes: list[Node]) -> int:
-    sys.setswitchinterval(0.0002)
+    async def handle(request: Message, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(SERVICE_S)
+        await send_answer(writer, b"v" * ANSWER_BYTES)
+        return True
+
+    def seen(server: str, request: Message) -> None:
+        record.line(f"{server} got {request.fields['x-txn']}")
+
     discovery = Discovery(record)
     await discovery.start()
-    servers = [SlowNetworkServer(f"s{n}", record) for n in range(SERVERS)]
-    for server in servers:
-        server.start()
-        discovery.add(server.name, server.port)
+    for n in range(SERVERS):
+        name = f"s{n}"
+        server = CacheServer(name, handle, lambda request, name=name: seen(name, request))
+        await server.start()
+        discovery.add(name, server.port)
     node = Node(
         folder,
         "n1",
@@ -147,46 +80,101 @@
             "discovery": f"{HOST}:{discovery.port}",
             "known": discovery.list(),
             "settings": settings(),
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
         },
     )
     nodes.append(node)
     node.start()
     await node.wait_up()
     await asyncio.sleep(4.0)  # it has asked discovery
+    assert node.process is not None
 
-    served = 0
+    loop = asyncio.get_running_loop()
+    until_s = now() + RUN_S
+    counts = {"sent": 0, "200": 0, "503": 0, "other": 0, "closed": 0}
 
-    async def client() -> None:
-        """One request at a time on one connection, as long as that stays open."""
-        nonlocal served
-        reader: Optional[asyncio.StreamReader] = None
-        writer: Optional[asyncio.StreamWriter] = None
-        until_s = now() + RUN_S
+    async def client(number: int) -> None:
+        """Keep AT_ONCE requests on one connection, or on a new one once the node has ended it."""
+        await asyncio.sleep(ARRIVE_S * number / CLIENTS)
         while now() < until_s:
-            if writer is None or reader is None:
-                reader, writer = await asyncio.open_connection(HOST, node.port)
-            txn = new_id()
+            connection = socket.socket()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection.setblocking(False)
             try:
-                writer.write(request_bytes(txn, "menu-read", f"menu-{txn}", WAIT_MS))
-                answer = await read_answer(reader)
-            except (OSError, asyncio.IncompleteReadError):
-                writer.transport.abort()
-                reader = writer = None
-                continue
-            record.line(f"client: {txn} got {answer.status} {answer.body!r}")
-            if answer.status == 200:
-                served += 1
-                if answer.body != f"value for {txn}".encode():
-                    record.rule_broken(f"{txn} was served with {answer.body!r}")
-            await asyncio.sleep(PAUSE_S)
-        if writer is not None:
-            writer.transport.abort()
-
-    await asyncio.gather(*(client() for _ in range(CLIENTS)))
-    record.line(f"second answers sent: {sum(server.spoilt for server in servers)}")
-    for server in servers:
-        server.close()
-    return record.verdict(served)
+                await loop.sock_connect(connection, (HOST, node.port))
+                await use(connection)
+            except OSError:
+                await asyncio.sleep(0.1)
+            finally:
+                connection.close()
+            counts["closed"] += 1
+
+    async def use(connection: socket.socket) -> None:
+        """Ask and read the answers slowly until the connection ends."""
+
+        out: deque[str] = deque()  # ids without an answer
+
+        async def send(count: int) -> None:
+            txns = [new_id() for _ in range(count)]
+            out.extend(txns)
+            record.line(f"client: sends {' '.join(txns)}")
+            data = [request_bytes(txn, "menu-read", f"menu-{txn}", WAIT_MS) for txn in txns]
+            await loop.sock_sendall(connection, b"".join(data))
+            counts["sent"] += count
+
+        await send(AT_ONCE)
+        began_s, got, left, head = now(), 0, 0, b""
+        while now() < until_s:
+            data = await loop.sock_recv(connection, 3_200)
+            if not data:
+                return
+            got += len(data)
+            while data:
+                if left:
+                    taken = min(left, len(data))
+                    left, data = left - taken, data[taken:]
+                    if not left:
+                        await send(1)
+                    continue
+                head += data
+                data = b""
+                if b"\r\n\r\n" in head:
+                    lines, _, data = head.partition(b"\r\n\r\n")
+                    head = b""
+                    status = lines[9:12].decode()
+                    counts[status if status in counts else "other"] += 1
+                    record.line(f"client: {out.popleft()} is answered with {status}")
+                    length = lines.lower().partition(b"content-length:")[2]
+                    left = int(length.split(b"\r\n")[0] or 0)
+                    if not left:
+                        await send(1)
+            await asyncio.sleep(max(0.0, began_s + got / READ_BYTES_PER_S - now()))
+
+    clients = [asyncio.ensure_future(client(n)) for n in range(CLIENTS)]
+    most = 0
+    while now() < until_s:
+        await asyncio.sleep(0.1)
+        used = own_memory(node.process.pid)
+        if used is None:
+            raise CannotRun(f"the node has ended: {node.log()[-400:]}")
+        if used > most + MIB:
+            most = used
+            record.line(f"node: {used / MIB:.1f} MiB of {MEMORY_MB}; clients {counts}")
+        if used > MEMORY_MB * MIB:
+            record.rule_broken(
+                f"the node has {used / MIB:.1f} MiB of its {MEMORY_MB}; the platform kills it, and "
+                f"its connections end: clients {counts}"
+            )
+            node.send_signal(signal.SIGKILL)
+            break
+    await asyncio.wait(clients, timeout=1.0)
+    for task in clients:
+        task.cancel()
+    record.line(f"most: {most / MIB:.1f} MiB; clients {counts}")
+    if not counts["200"]:
+        raise CannotRun("nothing was served")
+    return record.verdict(counts["sent"])
 
 
 sys.exit(play(__file__, case))
