Shutdown: nothing is admitted after the last moment at which it can be answered

Cause: 0.18 s before SIGKILL the node answers what is open, and 0.1 s later it resets all connections; in between requests were read, admitted and sent on as before. Ruled out: answers lost in the reset (servers take 150 ms, longer than the window).

Change: the lifecycle has a state "closing" from the last answers on. In it requests are refused (503, svc.refused.closing), and those that are read in part are refused at once, until the exit: their last byte may come at any time. A connection whose answer is on its way is closed, not reset.

The three new tests in tests/test_narrow_moments.py (head, body, requests sent at once) fail before the change. tests/admin/test_admin.py counts the causes of refusals exactly: 12 with the new one.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -75,6 +75,8 @@
 MIB = 1 << 20
 # Wait during a shutdown in which the connections accepted last deliver their first bytes.
 LAST_READ_DELAY_S = 0.02
+# Interval at which requests that are read in part are refused at the end of a shutdown.
+LAST_REFUSAL_INTERVAL_S = 0.02
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # A connection is kept after these responses if the request was read completely.
@@ -175,6 +177,12 @@
         self._stream.abort()
         self._task.cancel()
 
+    def close_at_exit(self) -> None:
+        """Close the connection at the end of the process; a response on its way is still sent."""
+        if self.lingering:
+            self._stream.close()
+        self.abort()
+
     def _on_input(self) -> None:
         """Cancel the requests at once if the input has ended: the client has left.
 
@@ -259,6 +267,8 @@
                 data = await self._read_request(data)
         except (Rejected, h11.RemoteProtocolError, MalformedBody, TimeoutError) as error:
             status = _error_status(error)
+            if isinstance(error, TimeoutError) and not self._frontend.lifecycle.admits_requests:
+                status = 503  # it had no time to come completely, and has not run
         except OSError:
             pass
         except Exception:
@@ -438,6 +448,8 @@
         Raises as `_admit` does.
         """
         node = self._frontend.node
+        if not self._frontend.lifecycle.admits_requests:
+            return "closing"
         if node.is_recent_id(request.txn):
             raise Rejected(409)
         if node.full:
@@ -739,7 +751,8 @@
         """Accept for a while longer, finish the open requests, then close all connections.
 
         The phases end at the times of `ShutdownSchedule`. Requests that are still open at its
-        `answer_ms` get an error response, and connections that remain at its `exit_ms` are reset.
+        `answer_ms` get an error response, and those that are complete later or never are refused:
+        there is no time for their answers. Connections that remain at `exit_ms` are closed.
         """
         started_s, schedule = asyncio.get_running_loop().time(), self._shutdown_schedule
         self.lifecycle.end(now_ms())
@@ -763,10 +776,24 @@
             if not connection.partial:
                 connection.close_if_no_input("ending")
         await self._wait_until_closed(started_s + schedule.answer_ms / 1000.0)
+        self.lifecycle.close(now_ms())
         self.node.fail_open_requests()
-        await self._wait_until_closed(started_s + schedule.exit_ms / 1000.0)
+        await self._refuse_the_rest(started_s + schedule.exit_ms / 1000.0)
         for connection in list(self._connections):
-            connection.abort()
+            connection.close_at_exit()
+
+    async def _refuse_the_rest(self, end: float) -> None:
+        """Refuse requests that are read in part until `end`, unless all connections close first.
+
+        Their last bytes may come at any time. After the end the node could neither read nor answer
+        them, and their clients would see a reset in place of a refusal.
+        """
+        loop = asyncio.get_running_loop()
+        while self._connections and loop.time() < end:
+            for connection in list(self._partial):
+                del self._partial[connection]
+                connection.expire()
+            await self._wait_until_closed(min(end, loop.time() + LAST_REFUSAL_INTERVAL_S))
 
     async def _wait_until_closed(self, end: float) -> None:
         """Wait until all connections are closed, at most until `end` on the loop's clock."""
--- a/corkshift/metrics.py
+++ b/corkshift/metrics.py
@@ -10,7 +10,7 @@
 from forkweir.retry_after import REFUSAL_CAUSES
 
 OK, SHED, ERRORS = range(3)  # indices of KINDS
-REFUSALS = (*REFUSAL_CAUSES, "full", "no-room", "unclaimed", "late", "behind")
+REFUSALS = (*REFUSAL_CAUSES, "full", "no-room", "unclaimed", "late", "behind", "closing")
 """Causes of refusals: those of the balancer (forkweir/retry_after.py), then the node's own.
 
 full: limit of open requests reached; no-room: body budget used up; unclaimed: the node's other
--- a/forkweir/limits/lifecycle.py
+++ b/forkweir/limits/lifecycle.py
@@ -1,13 +1,20 @@
-"""Lifecycle of a node: serving, draining (quiesced) or ending. Pure: no clock, no sockets.
-
-The front end asks four things: whether `/up` answers yes, whether a connection may be accepted,
-whether a connection is kept after its answer, and which idle connections to close. This module only
-decides which connections may stay; requests are decided by the balancer.
+"""Lifecycle of a node: serving, draining (quiesced), ending or closing. Pure: no clock, no sockets.
+
+The front end asks five things: whether `/up` answers yes, whether a connection may be accepted,
+whether a connection is kept after its answer, which idle connections to close, and whether requests
+are still admitted. Which server they go to is decided by the balancer.
+
+| state | requests | connections |
+|---|---|---|
+| serving | admitted | kept |
+| quiesced | admitted | closed after an answer, idle ones step by step; can be undone |
+| ending | admitted | closed after an answer, idle ones at once; no new ones after `accept_ms` |
+| closing | refused, also those that are read in part; open ones have been answered | closed |
 """
 
 from __future__ import annotations
 
-SERVING, QUIESCED, ENDING = "serving", "quiesced", "ending"
+SERVING, QUIESCED, ENDING, CLOSING = "serving", "quiesced", "ending", "closing"
 # Connections and requests are accepted for this long after SIGTERM, as new connections come for 200
 # to 400 ms.
 ACCEPT_MS = 500.0
@@ -16,7 +23,7 @@
 KILL_MARGIN_MS = 700.0
 MAX_COUNTED_DEADLINE_MS = 3_000.0
 # Requests that are still open so long before SIGKILL are answered, since a late answer is a lost
-# request.
+# request. From then on no request is admitted, as its answer might come after the end.
 ANSWER_MARGIN_MS = 180.0
 # The process has ended so long before SIGKILL.
 EXIT_MARGIN_MS = 80.0
@@ -77,9 +84,14 @@
 
     def end(self, now: float) -> None:
         """Start ending the process, which can't be undone."""
-        if self.state != ENDING:
+        if self.state not in (ENDING, CLOSING):
             self.state, self.since_ms = ENDING, now
 
+    def close(self, now: float) -> None:
+        """Stop to admit requests, as the process ends in a moment, which can't be undone."""
+        if self.state != CLOSING:
+            self.state, self.since_ms = CLOSING, now
+
     @property
     def accepts_clients(self) -> bool:
         """Whether clients should still be sent to this node, as `/up` answers.
@@ -89,6 +101,11 @@
         """
         return self.state != QUIESCED
 
+    @property
+    def admits_requests(self) -> bool:
+        """Whether a request that has been read may be sent on; otherwise it is refused."""
+        return self.state != CLOSING
+
     @property
     def keeps_connections(self) -> bool:
         """Whether a connection may be kept after its answer."""
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -85,7 +85,7 @@
             refused = {
                 name: count for name, count in seen.items() if name.startswith("svc.refused.")
             }
-            assert len(refused) == 11 and refused["svc.refused.tries"] == sum(refused.values()) == 1
+            assert len(refused) == 12 and refused["svc.refused.tries"] == sum(refused.values()) == 1
 
     run_async(test)
 
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -133,6 +133,65 @@
     run_async(test)
 
 
+PARTIAL_REQUESTS = {
+    "head": request("a")[:40],
+    "body": request(
+        "a", "Content-Length: 9\r\nIdempotency-Key: k\r\n", class_name="pay", method="PUT"
+    )
+    + b"half",
+}
+
+
+@pytest.mark.parametrize("form", PARTIAL_REQUESTS)
+def test_a_request_that_is_read_in_part_when_no_answer_is_possible_any_more_is_refused(
+    form: str,
+) -> None:
+    # Guards against requests that are completed, sent on and closed on with no answer in the last
+    # moments of a shutdown (review/9).
+    async def test() -> None:
+        box = CacheBox()
+        schedule = shutdown_schedule()
+        schedule.answer_ms, schedule.exit_ms = 200.0, 1_000.0
+        async with rig({"s0": box}, shutdown_schedule=schedule) as made:
+            sock = client(made, PARTIAL_REQUESTS[form])
+            await until(
+                lambda: any(connection.partial for connection in made.frontend._connections)
+            )
+            shutting_down = asyncio.create_task(made.frontend.shut_down())
+            assert status(await read(sock)) == 503
+            sock.setblocking(True)
+            sock.sendall(b"more" * 10)
+            sock.close()
+            await shutting_down
+            assert not box.heads
+
+    run_async(test)
+
+
+def test_requests_behind_the_last_answers_of_a_shutdown_are_refused_and_not_sent_on() -> None:
+    # Guards against the same for requests that a client has sent at once (review/9).
+    async def test() -> None:
+        box = CacheBox(lambda head: None)
+        schedule = shutdown_schedule()
+        schedule.answer_ms, schedule.exit_ms = 200.0, 1_000.0
+        async with rig({"s0": box}, 256, shutdown_schedule=schedule) as made:
+            sock = client(made, b"".join(request(f"a{n}", path=f"/api/{n}") for n in range(20)))
+            await until(lambda: len(box.heads) >= 5 and len(box.heads) == len(made.node._running))
+            sent = len(box.heads)
+            shutting_down = asyncio.create_task(made.frontend.shut_down())
+            answers = b""
+            while piece := await read(sock):
+                answers += piece
+            await shutting_down
+            sock.close()
+            assert answers.count(b"HTTP/1.1 504 ") == sent
+            assert answers.count(b"HTTP/1.1 503 ") == 20 - sent
+            assert len(box.heads) == sent
+            assert made.metrics.refusals["closing"] == 20 - sent
+
+    run_async(test)
+
+
 def test_connections_queued_when_the_shutdown_begins_are_served() -> None:
     async def test() -> None:
         release = asyncio.Event()
