Pipelining: a request's time runs while it waits unparsed behind others

Cause: a request's time began when it was parsed. The wait in the kernel was known after a stall of the loop only, and the wait in the node's read buffer not at all.

Change: Stream keeps since when each piece of input has been there; behind a pause of reading the kernel tells when the last bytes came, for client connections alone. A request's time runs from the piece with its last byte, and one whose time is over is refused in its turn.

--- a/corkshift/frontend.py
+++ b/corkshift/frontend.py
@@ -154,6 +154,7 @@
         self._arrival: Optional[BodyArrival] = None  # of the large body that is being forwarded
         self._stream = Stream(sock)
         self._stream.read_limit = frontend.node.read_limit(READ_BYTES)
+        self._stream.times_paused_input = True
         self._stream.on_input = self._on_input
         self._reader: Optional[asyncio.Task[None]] = None
         self._task = asyncio.create_task(self._serve())
@@ -572,16 +573,17 @@
         return ""
 
     def _waited_ms(self) -> float:
-        """Return an upper bound of the time that the request waited in the kernel.
+        """Return an upper bound of the time that the request has waited since its last byte came.
 
-        It waits there while the event loop lags or accepting is paused. The client's time ran
-        meanwhile, so the request must not get its full deadline. There are two bounds: how long the
+        It waits in the kernel while the event loop lags or accepting is paused, and in the read
+        buffer while the requests before it are in work. The client's time ran meanwhile, so the
+        request must not get its full deadline. For the kernel there are two bounds: how long the
         node may have left input unread, and how long ago the last bytes of this connection arrived,
-        if the system can tell. The smaller one is returned.
+        if the system can tell. The smaller one counts.
         """
         # Only the first request of a connection can have waited for the accept.
         queued_ms, self._queued_ms = self._queued_ms, 0.0
-        return self._unread_ms(queued_ms)
+        return max(now_ms() - self._stream.read_ms, self._unread_ms(queued_ms))
 
     def _unread_ms(self, queued_ms: float = 0.0) -> float:
         """Return for how long input that is read now may have been unread in the kernel."""
--- a/corkshift/stream.py
+++ b/corkshift/stream.py
@@ -11,7 +11,7 @@
 from typing import Optional
 
 from corkshift import seam
-from corkshift.seam import Socket
+from corkshift.seam import Socket, now_ms
 from corkshift.seam.errors import NO_BUFFER_ERRNOS
 
 # Limit of one read, and of buffered input at which reading pauses.
@@ -41,13 +41,20 @@
 
     __slots__ = (
         "_loop", "_sock", "_in", "_buffered_bytes", "_reading", "_reader", "_writer", "ended",
-        "_error", "closed", "on_input", "read_limit", "last_read_full", "_expired",
+        "_error", "closed", "on_input", "read_limit", "last_read_full", "_expired", "read_ms",
+        "times_paused_input", "_resumed",
     )  # fmt: skip
 
     def __init__(self, sock: Socket) -> None:
         self._loop = asyncio.get_running_loop()
         self._sock = sock
-        self._in: deque[bytes] = deque()
+        self._in: deque[tuple[float, bytes]] = deque()  # input, and since when it waits
+        # Since when the bytes that `read` returned last had been there, on the node's clock.
+        self.read_ms = 0.0
+        # Whether `read_ms` includes the time in which reading was paused, which costs a system call
+        # behind each pause.
+        self.times_paused_input = False
+        self._resumed = False  # reading was paused; what is read now may have waited in the kernel
         self._buffered_bytes = 0
         self._reading = False
         self._reader: Optional[asyncio.Future[None]] = None
@@ -109,7 +116,7 @@
     @property
     def last_read_bytes(self) -> int:
         """The size of the last read, within `on_input`, if that brought bytes."""
-        return len(self._in[-1])
+        return len(self._in[-1][1])
 
     @property
     def keeps_up(self) -> bool:
@@ -146,9 +153,10 @@
                 await self._reader
             finally:
                 self._reader = None
-        data = self._in.popleft()
+        self.read_ms, data = self._in.popleft()
         self._buffered_bytes -= len(data)
-        if self._buffered_bytes < self.read_limit:
+        if self._buffered_bytes < self.read_limit and not self._reading:
+            self._resumed = self.times_paused_input
             self._resume()
         return data
 
@@ -308,7 +316,7 @@
             self._end(None)
             return False
         self.last_read_full = size == self.read_limit
-        self._in.append(bytes(_SCRATCH[:size]))
+        self._in.append((self._waiting_since_ms(), bytes(_SCRATCH[:size])))
         self._buffered_bytes += size
         if self._buffered_bytes >= self.read_limit:
             self._pause()
@@ -317,6 +325,18 @@
             self.on_input()
         return True
 
+    def _waiting_since_ms(self) -> float:
+        """Return since when the bytes that were read now have been there, as far as is known.
+
+        What was read as it came has been there since now. Behind a pause of reading, the last bytes
+        that the kernel has received tell the least time.
+        """
+        now = now_ms()
+        if not self._resumed:
+            return now
+        self._resumed = self.last_read_full
+        return now - (self.unread_ms or 0.0)
+
     def _end(self, error: Optional[OSError]) -> None:
         self.ended = True
         self._error = None if error is None else _without_traceback(error)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -99,6 +99,43 @@
     run_async(test)
 
 
+@pytest.mark.parametrize("size", [0, 3_000], ids=["in-the-buffer", "and-in-the-kernel"])
+def test_the_time_of_a_request_runs_while_it_waits_unparsed(size: int) -> None:
+    # Guards against requests that get their whole time anew, as they are parsed only once those
+    # before them are answered (review/7).
+    async def test() -> None:
+        count, service_s, within_ms = 30, 0.1, 250
+        loop = asyncio.get_running_loop()
+        arrivals_s: list[float] = []
+
+        async def slow(head: bytes) -> bytes:
+            arrivals_s.append(loop.time())
+            await asyncio.sleep(service_s)
+            return default_answer(head)
+
+        box = CacheBox(slow)
+        async with rig({"s0": box}, 256) as made:
+            sock = await connect_socket(made.port)
+            more = "X-Padding: " + "x" * size + "\r\n"
+            data = b"".join(
+                request(f"a{n}", more, path=f"/api/{n}", within_ms=within_ms) for n in range(count)
+            )
+            sent_s = loop.time()
+            await loop.sock_sendall(sock, data)
+            answers = b""
+            while answers.count(b"HTTP/1.1 ") < count:
+                answers += await loop.sock_recv(sock, 65_536)
+            # An answer may come half a second after its time, and 0.05 s more over sockets.
+            assert loop.time() - sent_s <= within_ms / 1000.0 + 0.55
+            sock.close()
+            for head, arrived_s in zip(box.heads, arrivals_s, strict=True):
+                left_ms = within_ms - 1000.0 * (arrived_s - sent_s)
+                # Servers may be told 0.15 s more than is left, and 0.05 s more over sockets.
+                assert announced_ms(head) <= left_ms + 200.0
+
+    run_async(test)
+
+
 def test_a_request_that_waits_for_room_keeps_its_connection_during_a_drain(no_room: None) -> None:
     async def test() -> None:
         async with rig({"s0": CacheBox()}) as made:
