--- a/corkshift/paced_import.py
+++ b/corkshift/paced_import.py
@@ -40,6 +40,7 @@
     "corkshift.upstream",
     "corkshift.address_book",
     "corkshift.discovery",
+    "corkshift.client_connection",
     "corkshift.frontend",
     "corkshift.handover",
     "corkshift.admin",
--- a/testbed/nights/defects.py
+++ b/testbed/nights/defects.py
@@ -11,8 +11,9 @@
 from corkshift import seam, upstream
 from corkshift.address_book import AddressBook
 from corkshift.budget import BodyBudget
+from corkshift.client_connection import ClientConnection
 from corkshift.discovery import Discovery
-from corkshift.frontend import ClientConnection, Frontend
+from corkshift.frontend import Frontend
 from corkshift.messages import ClientRequest, Response
 from corkshift.node import Node
 from corkshift.sources import message, resolver
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -20,7 +20,7 @@
 )
 
 from corkshift.budget import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES
-from corkshift.frontend import ClientConnection
+from corkshift.client_connection import ClientConnection
 from corkshift.relay import BodyAborted, BodyPipe
 from testbed.systems.http import Connection, Message
 
--- a/tests/test_cycles.py
+++ b/tests/test_cycles.py
@@ -14,7 +14,7 @@
 from loopback import CacheBox, Rig, connect_socket, default_answer, request, rig, run_async, until
 from loopback import status as status_of
 
-from corkshift import frontend
+from corkshift import client_connection
 from testbed.systems.http import Connection, Message
 
 RESET = struct.pack("ii", 1, 0)
@@ -125,7 +125,7 @@
 
 @pytest.mark.parametrize("name", EXCHANGES)
 def test_an_exchange_leaves_no_reference_cycle(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(frontend, "REQUEST_TIMEOUT_MS", 300.0)
+    monkeypatch.setattr(client_connection, "REQUEST_TIMEOUT_MS", 300.0)
 
     async def test() -> None:
         async with rig({"s0": Box()}) as made:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -17,7 +17,7 @@
 from loopback import CacheBox, Rig, default_answer, ok_response, request, rig, run_async, until
 
 from corkshift import frontend, seam
-from corkshift.frontend import ClientConnection
+from corkshift.client_connection import ClientConnection
 from corkshift.seam import now_ms
 from corkshift.stream import Stream
 from corkshift.upstream import MIN_IDLE_MS
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -24,7 +24,7 @@
 )
 from test_departures import client, delayed_connects, read, requested_paths
 
-from corkshift.frontend import ClientConnection
+from corkshift.client_connection import ClientConnection
 from corkshift.seam import now_ms
 from forkweir.limits.lifecycle import ShutdownSchedule
 
