Drain: a drained node that gets SIGTERM goes on to say no to new clients

Cause: the lifecycle forgot the drain with its state "quiesced"; "ending" answers yes.

Change: whether /up says yes follows from quiesce and resume alone, in every later state.

Both tests fail before the change: the order of all calls (tests/forkweir/test_lifecycle.py, which now has "close" among them) and a drained node on real sockets (tests/test_narrow_moments.py).

--- a/forkweir/limits/lifecycle.py
+++ b/forkweir/limits/lifecycle.py
@@ -61,11 +61,12 @@
 class Lifecycle:
     """The state and when it began. Times are in ms on the caller's clock."""
 
-    __slots__ = ("state", "since_ms")
+    __slots__ = ("state", "since_ms", "_drained")
 
     def __init__(self) -> None:
         self.state = SERVING
         self.since_ms = 0.0
+        self._drained = False  # quiesced and not resumed, also once the process ends
 
     def quiesce(self, now: float) -> bool:
         """Start draining; return whether the node now drains.
@@ -73,13 +74,13 @@
         A second call doesn't restart the drain. A node that is ending can't be drained.
         """
         if self.state == SERVING:
-            self.state, self.since_ms = QUIESCED, now
+            self.state, self.since_ms, self._drained = QUIESCED, now, True
         return self.state == QUIESCED
 
     def resume(self, now: float) -> bool:
         """Return to service after a drain; return whether the node now serves."""
         if self.state == QUIESCED:
-            self.state, self.since_ms = SERVING, now
+            self.state, self.since_ms, self._drained = SERVING, now, False
         return self.state == SERVING
 
     def end(self, now: float) -> None:
@@ -98,8 +99,9 @@
 
         A node that is ending answers yes until it is gone: at a planned restart the load balancer
         in front learns of it by other means, and connections that it assigns meanwhile are served.
+        One that was drained before goes on to answer no.
         """
-        return self.state != QUIESCED
+        return not self._drained
 
     @property
     def admits_requests(self) -> bool:
--- a/tests/forkweir/test_lifecycle.py
+++ b/tests/forkweir/test_lifecycle.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from forkweir.limits.lifecycle import DRAIN_MS, ENDING, QUIESCED, SERVING, Lifecycle
+from forkweir.limits.lifecycle import CLOSING, DRAIN_MS, ENDING, QUIESCED, SERVING, Lifecycle
 
 
 def test_a_draining_node_accepts_no_clients_until_it_resumes() -> None:
@@ -75,13 +75,17 @@
     assert left == 0 and max(closed) <= ceil(idle / 8) + 1
 
 
-@given(st.lists(st.sampled_from(["quiesce", "resume", "end"]), max_size=20))
-def test_ending_is_the_only_final_state(calls: list[str]) -> None:
-    lifecycle, ended = Lifecycle(), False
+@given(st.lists(st.sampled_from(["quiesce", "resume", "end", "close"]), max_size=20))
+def test_ending_and_closing_are_the_only_final_states(calls: list[str]) -> None:
+    lifecycle, ended, closed, drained = Lifecycle(), False, False, False
     for n, call in enumerate(calls):
         taken = getattr(lifecycle, call)(float(n))
         ended = ended or call == "end"
-        if ended:
-            assert lifecycle.state == ENDING and not taken
+        closed = closed or call == "close"
+        if closed or ended:
+            assert lifecycle.state == (CLOSING if closed else ENDING) and not taken
         else:
+            drained = call == "quiesce"
             assert taken and lifecycle.state == {"quiesce": QUIESCED, "resume": SERVING}[call]
+        assert lifecycle.admits_requests == (not closed)
+        assert lifecycle.accepts_clients == (not drained)
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -26,7 +26,7 @@
 
 from corkshift.client_connection import ClientConnection
 from corkshift.seam import now_ms
-from forkweir.limits.lifecycle import ShutdownSchedule
+from forkweir.limits.lifecycle import ENDING, ShutdownSchedule
 
 
 def only_connection(made: Rig) -> ClientConnection:
@@ -192,6 +192,22 @@
     run_async(test)
 
 
+def test_a_drained_node_that_ends_goes_on_to_refuse_new_clients() -> None:
+    # Guards against a front that sends clients again to a node that is drained and about to end.
+    async def test() -> None:
+        async with rig({"s0": CacheBox()}, shutdown_schedule=shutdown_schedule(500.0)) as made:
+            check = b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            assert status(await made.send(check)) == 200
+            made.frontend.lifecycle.quiesce(now_ms())
+            assert status(await made.send(check)) == 503
+            shutting_down = asyncio.create_task(made.frontend.shut_down())
+            await until(lambda: made.frontend.lifecycle.state == ENDING)
+            assert status(await made.send(check)) == 503
+            await shutting_down
+
+    run_async(test)
+
+
 def test_connections_queued_when_the_shutdown_begins_are_served() -> None:
     async def test() -> None:
         release = asyncio.Event()
