Tests: ports of real processes are reserved until the tests end

The rig took any free port, closed it, and handed its number to the node; another process was given the same port in between. The test says nothing on the node then.

Change: testbed/systems/ports.py keeps a bound socket for each such port, with SO_REUSEADDR and not listening, so that the system gives it to nobody else while the node can listen on it. It takes the place of two functions that were alike, in the crowds' rig and in tests/test_process.py.

--- a/testbed/crowd/process.py
+++ b/testbed/crowd/process.py
@@ -15,6 +15,7 @@
 from corkshift.seam import Address
 from testbed.systems.clients import CLASSES, settings
 from testbed.systems.http import fetch_body
+from testbed.systems.ports import reserve_port
 from testbed.tier.processes import die_with_parent
 
 ROOT = Path(__file__).parents[2]
@@ -55,8 +56,8 @@
         self.folder = folder
         self.name = name
         self._listener = socket.create_server((HOST, 0), backlog=4_096) if shared_socket else None
-        self.port = self._listener.getsockname()[1] if self._listener else _free_port()
-        self.admin_port = _free_port()
+        self.port = self._listener.getsockname()[1] if self._listener else reserve_port()
+        self.admin_port = reserve_port()
         self.processes: list[asyncio.subprocess.Process] = []
         self.config: dict[str, Any] = {
             "name": name,
@@ -112,7 +113,7 @@
 
     async def start_successor(self) -> asyncio.subprocess.Process:
         """Start a further process on the same socket, and wait until it serves."""
-        self.admin_port = _free_port()
+        self.admin_port = reserve_port()
         process = await self.start()
         await self.wait_ready()
         return process
@@ -177,10 +178,3 @@
             except (OSError, KeyError):
                 return  # it has just ended
             await asyncio.sleep(self.INTERVAL_S)
-
-
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -27,7 +27,6 @@
     status,
     until,
 )
-from test_process import free_port
 
 from corkshift.config import Config, config_of, load
 from corkshift.metrics import Metrics
@@ -37,6 +36,7 @@
 from forkweir import Balancer
 from forkweir.adapter import settings_of
 from forkweir.limits.lifecycle import ShutdownSchedule
+from testbed.systems.ports import reserve_port
 
 ROOT = Path(__file__).parent.parent
 SITES = sorted((ROOT / "deploy" / "sites").glob("*/*.toml"))
@@ -302,7 +302,7 @@
     return Service(
         config_of(
             {
-                "listen": f"127.0.0.1:{free_port()}",
+                "listen": f"127.0.0.1:{reserve_port()}",
                 "discovery": f"127.0.0.1:{discovery_server.port}",
                 "seed": "1",
                 "known": {"generation": 1, "reset": True, "instances": known},
@@ -461,7 +461,7 @@
         for discovery_server in (old, new):
             discovery_server.start()
         path = tmp_path / "config.json"
-        text = {"listen": f"127.0.0.1:{free_port()}", "seed": "1", "settings": OPTIONS}
+        text = {"listen": f"127.0.0.1:{reserve_port()}", "seed": "1", "settings": OPTIONS}
         monkeypatch.setenv("PROXY_CONFIG", str(path))
         path.write_bytes(orjson.dumps({**text, "discovery": f"127.0.0.1:{old.port}"}))
         service = Service(load(os.environ))
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -16,7 +16,9 @@
 
 import pytest
 from loopback import CacheBox, ScriptedDiscovery, run_async, until
-from test_process import ROOT, Process, free_port
+from test_process import ROOT, Process
+
+from testbed.systems.ports import reserve_port
 
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 
@@ -82,7 +84,7 @@
         box.listen()
         discovery_server = ScriptedDiscovery({"s0": box})
         discovery_server.start()
-        process = Process(tmp_path / "config.json", discovery_server, free_port())
+        process = Process(tmp_path / "config.json", discovery_server, reserve_port())
         process.write()
         environ = {**os.environ, "PROXY_CONFIG": str(process.path), "TMPDIR": str(tmp_path / "tmp")}
         process.process = await asyncio.create_subprocess_exec(
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
@@ -25,17 +24,12 @@
     until,
 )
 
+from testbed.systems.ports import reserve_port
+
 ROOT = Path(__file__).parent.parent
 STOPS = 40
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 def stat(path: Path) -> list[str]:
     """The fields of /proc/.../stat of a process or thread, from its state on."""
     return (path / "stat").read_text().rpartition(")")[2].split()
@@ -58,7 +52,7 @@
         self, path: Path, discovery_server: ScriptedDiscovery | None, port: int = 0
     ) -> None:
         self.path = path
-        self.port = port or free_port()
+        self.port = port or reserve_port()
         self.extra_environ: dict[str, str] = {}  # further environment variables
         self.descriptors: tuple[int, ...] = ()  # inherited file descriptors
         self.config: dict[str, Any] = {
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -25,10 +25,11 @@
     status,
     until,
 )
-from test_process import Process, free_port, running
+from test_process import Process, running
 
 from corkshift.seam import now_ms
 from testbed.soak.shim import ACCEPT_ERRORS, Shim, SystemCall, build
+from testbed.systems.ports import reserve_port
 
 LOCAL_CONNECT = (
     errno.EADDRNOTAVAIL,
@@ -55,7 +56,7 @@
 ) -> AsyncIterator[tuple[Process, ScriptedDiscovery, Shim]]:
     """A node process with the shim, one cache server and an operators' address."""
     shim = Shim(library, tmp_path / "control")
-    more = {**shim.environment, "PROXY_ADMIN_ADDR": f"127.0.0.1:{free_port()}"}
+    more = {**shim.environment, "PROXY_ADMIN_ADDR": f"127.0.0.1:{reserve_port()}"}
     try:
         async with running(tmp_path / "config.json", box, more) as (process, discovery_server):
             yield process, discovery_server, shim
@@ -326,7 +327,7 @@
         shim = Shim(library, tmp_path / "control")
         if before_start:
             shim.step_wall_clock(step_ms)
-        more = {**shim.environment, "PROXY_ADMIN_ADDR": f"127.0.0.1:{free_port()}"}
+        more = {**shim.environment, "PROXY_ADMIN_ADDR": f"127.0.0.1:{reserve_port()}"}
         async with running(tmp_path / "config.json", box, more) as (process, discovery_server):
             shim.step_wall_clock(step_ms)
             counts = await figures(process)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,11 +17,12 @@
 import pytest
 from loopback import OPTIONS, CacheBox, ScriptedDiscovery, entry, request, run_async, status
 from test_list_freshness import send_until
-from test_process import Process, free_port
+from test_process import Process
 from test_upgrade import Successor, health
 
 from corkshift.seam import now_ms
 from testbed.systems.http import Connection, Message
+from testbed.systems.ports import reserve_port
 
 SLOW_POLLING = {**OPTIONS, "contract": {"mustAskInMs": 10_000, "stopSendingWithinMs": 250}}
 BINDING_MS = 2_000.0  # what discovery tells binds so long after the second process is up
@@ -76,7 +77,7 @@
         """
         process, admin_port = (
             Successor(self._folder / "config.json", self.discovery_server, self.port),
-            free_port(),
+            reserve_port(),
         )
         process.config["settings"] = SLOW_POLLING
         process.config["known"] = self.saved_list() if saved is None else saved
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,7 +9,9 @@
 
 import pytest
 from loopback import CacheBox, default_answer, request, run_async, status
-from test_process import Process, free_port, running
+from test_process import Process, running
+
+from testbed.systems.ports import reserve_port
 
 
 class Successor(Process):
@@ -82,7 +84,7 @@
 
         with socket.create_server(("127.0.0.1", 0), backlog=256) as listening:
             port: int = listening.getsockname()[1]
-            admin_ports = [free_port(), free_port()]
+            admin_ports = [reserve_port(), reserve_port()]
             more = {"PROXY_SOCKET_FD": str(listening.fileno()), "PROXY_LISTEN": f"127.0.0.1:{port}"}
             box = CacheBox(script)
             old_more = {**more, "PROXY_ADMIN_ADDR": f"127.0.0.1:{admin_ports[0]}"}
